--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+GOLANGCI_VERSION := v2.15.0
+GOBIN := $(shell go env GOPATH)/bin
+SEED ?= 1
+MINUTES ?= 5
+
+.PHONY: build demo test lint unit bench report soak generate docs tools
+
+build:
+	go build -o bin/ ./cmd/...
+
+demo: build
+	./bin/standin demo --program ./bin/curranttiller
+
+test: lint unit
+
+tools:
+	@test -x $(GOBIN)/golangci-lint || go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+lint: tools
+	$(GOBIN)/golangci-lint fmt --diff
+	$(GOBIN)/golangci-lint run ./...
+
+unit: build
+	go test -count=1 -timeout 20m ./...
+
+docs: build
+	./bin/curranttiller reference cli > docs/CLI.md
+	./bin/curranttiller reference settings > docs/SETTINGS.md
+
+generate:
+	buf generate proto
--- /dev/null
+++ b/internal/admin/server.go
@@ -0,0 +1,88 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"gitlab.com/curranttiller/curranttiller/pkg/event"
+)
+
+const (
+	headTimeout  = 5 * time.Second
+	closeTimeout = time.Second
+)
+
+// Handler tells operators what a host knows.
+type Handler interface {
+	Status() Status
+	Documents() Documents
+	Events(filter event.Filter) []event.Event
+	Metrics() *metrics.Set
+}
+
+// Server answers operators.
+type Server struct {
+	handler Handler
+	host    string
+	http    *http.Server
+	done    sync.WaitGroup
+}
+
+// NewServer returns a server; withPprof adds the profiling endpoint.
+func NewServer(host string, handler Handler, withPprof bool) *Server {
+	s := &Server{handler: handler, host: host}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /tiller/status", func(w http.ResponseWriter, _ *http.Request) { reply(w, handler.Status()) })
+	mux.HandleFunc("GET /tiller/documents", func(w http.ResponseWriter, _ *http.Request) { reply(w, handler.Documents()) })
+	mux.HandleFunc("GET /tiller/events", s.events)
+	mux.HandleFunc("GET /metrics", s.metrics)
+	if withPprof {
+		mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+		mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	}
+	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: headTimeout}
+	return s
+}
+
+// Start serves a listener until Close.
+func (s *Server) Start(listener net.Listener) {
+	s.done.Go(func() { _ = s.http.Serve(listener) })
+}
+
+// Close stops the server and waits for it.
+func (s *Server) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if s.http.Shutdown(ctx) != nil {
+		_ = s.http.Close()
+	}
+	s.done.Wait()
+}
+
+func reply[T any](w http.ResponseWriter, answer T) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func (s *Server) events(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	filter := event.Filter{
+		Service: query.Get("service"),
+		Target:  query.Get("target"),
+		Request: query.Get("request"),
+		Kind:    query.Get("kind"),
+	}
+	reply(w, Events{Host: s.host, NowUnixNanos: time.Now().UnixNano(), Events: s.handler.Events(filter)})
+}
+
+func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
+	s.handler.Metrics().WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
--- /dev/null
+++ b/internal/cmds/doc.go
@@ -0,0 +1,2 @@
+// Package cmds holds the commands of the curranttiller program.
+package cmds
--- /dev/null
+++ b/internal/config/settings.go
@@ -0,0 +1,168 @@
+package config
+
+import (
+	"net"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"gitlab.com/curranttiller/curranttiller/internal/logs"
+	"gitlab.com/curranttiller/curranttiller/pkg/spec"
+)
+
+// Settings are the checked settings of one entry host.
+type Settings struct {
+	// Name and FailureDomain identify the host.
+	Name          string
+	FailureDomain string
+	// CallerAddress, PeerAddress and AdminAddress are the listening addresses.
+	CallerAddress string
+	PeerAddress   string
+	AdminAddress  string
+	// CallerAdvertised and PeerAdvertised are the addresses that others are told; they differ from the listening ones behind an address translation.
+	CallerAdvertised string
+	PeerAdvertised   string
+	// Peers are the peer addresses of a few other hosts.
+	Peers []string
+	// Platform is the address of the platform.
+	Platform string
+	// LogRetention is how long the platform's log keeps records.
+	LogRetention time.Duration
+	// HostListPeriod is the time between two reads of the list of hosts.
+	HostListPeriod time.Duration
+	// HeartbeatPeriod is the time between two heartbeats.
+	HeartbeatPeriod time.Duration
+	// FailAfter is how long a silent host stays in callers' answers.
+	FailAfter time.Duration
+	// DeadlineAtMost bounds the deadline of a request.
+	DeadlineAtMost time.Duration
+	// BodyBytesAtMost bounds the body of a request.
+	BodyBytesAtMost int
+	// KeysRemembered bounds the keyed requests remembered.
+	KeysRemembered int
+	// AnswerBytesRemembered bounds the bodies remembered.
+	AnswerBytesRemembered int
+	// EventsKept bounds the time line of the host.
+	EventsKept int
+	// LogLevels is a list such as peer=debug.
+	LogLevels string
+	// Pprof turns the profiling endpoint on.
+	Pprof string
+}
+
+// Fields describes every key of the settings and stores parsed values into s.
+func (s *Settings) Fields() []spec.Field {
+	return append(s.hostFields(), s.limitFields()...)
+}
+
+func (s *Settings) hostFields() []spec.Field {
+	return []spec.Field{
+		{Section: "Host", Key: "Name", Allowed: "a name of letters, digits, '-' and '_'", About: "Name of the host, unique in the system.", Set: spec.Name(&s.Name)},
+		{Section: "Host", Key: "FailureDomain", Allowed: "a name of letters, digits, '-' and '_'", About: "Failure domain of the host.", Set: spec.Name(&s.FailureDomain)},
+		{Section: "Host", Key: "CallerAddress", Allowed: "IP:port", About: "Where callers connect.", Set: address(&s.CallerAddress)},
+		{Section: "Host", Key: "PeerAddress", Allowed: "IP:port", About: "Where other entry hosts connect.", Set: address(&s.PeerAddress)},
+		{Section: "Host", Key: "AdminAddress", Allowed: "IP:port", About: "Where operators and metrics collectors connect.", Set: address(&s.AdminAddress)},
+		{Section: "Host", Key: "CallerAdvertised", Default: sameAddress, Allowed: "IP:port, or Same", About: "Address that callers are told; Same means CallerAddress.", Set: advertised(&s.CallerAdvertised)},
+		{Section: "Host", Key: "PeerAdvertised", Default: sameAddress, Allowed: "IP:port, or Same", About: "Address that other entry hosts are told; Same means PeerAddress.", Set: advertised(&s.PeerAdvertised)},
+		{Section: "Peers", Key: "Addresses", Default: "none", Allowed: "IP:port values separated by commas, or none", About: "Peer addresses of a few other entry hosts.", Set: addresses(&s.Peers)},
+		{Section: "Platform", Key: "Address", Allowed: "IP:port", About: "Address of the platform.", Set: address(&s.Platform)},
+		{Section: "Platform", Key: "LogRetentionMillis", Unit: "ms", Default: "3600000", Allowed: "1000 to 8640000000", About: "How long the platform's log keeps records.", Set: spec.Millis(&s.LogRetention, time.Second, 100*24*time.Hour)},
+		{Section: "Platform", Key: "HostListPeriodMillis", Unit: "ms", Default: "1000", Allowed: "50 to 60000", About: "Time between two reads of the list of hosts.", Set: spec.Millis(&s.HostListPeriod, 50*time.Millisecond, time.Minute)},
+	}
+}
+
+func (s *Settings) limitFields() []spec.Field {
+	return []spec.Field{
+		{Section: "Membership", Key: "HeartbeatMillis", Unit: "ms", Default: "500", Allowed: "50 to 10000", About: "Time between two heartbeats to another host.", Set: spec.Millis(&s.HeartbeatPeriod, 50*time.Millisecond, 10*time.Second)},
+		{Section: "Membership", Key: "FailAfterMillis", Unit: "ms", Default: "5000", Allowed: "200 to 60000", About: "How long a silent host stays in callers' answers.", Set: spec.Millis(&s.FailAfter, 200*time.Millisecond, time.Minute)},
+		{Section: "Requests", Key: "DeadlineAtMostMillis", Unit: "ms", Default: "60000", Allowed: "100 to 3600000", About: "Longest deadline that a request may have.", Set: spec.Millis(&s.DeadlineAtMost, 100*time.Millisecond, time.Hour)},
+		{Section: "Requests", Key: "BodyBytesAtMost", Unit: "bytes", Default: "1073741824", Allowed: "1024 to 1099511627776", About: "Largest body of a request.", Set: spec.Int(&s.BodyBytesAtMost, 1024, 1<<40)},
+		{Section: "Requests", Key: "KeysRemembered", Unit: "keys", Default: "100000", Allowed: "100 to 10000000", About: "Keyed requests remembered at once.", Set: spec.Int(&s.KeysRemembered, 100, 10000000)},
+		{Section: "Requests", Key: "AnswerBytesRemembered", Unit: "bytes", Default: "16777216", Allowed: "0 to 1073741824", About: "Bodies of remembered answers, all together.", Set: spec.Int(&s.AnswerBytesRemembered, 0, 1<<30)},
+		{Section: "Observability", Key: "EventsKept", Unit: "events", Default: "8192", Allowed: "16 to 1000000", About: "Events kept for the time line.", Set: spec.Int(&s.EventsKept, 16, 1000000)},
+		{Section: "Observability", Key: "LogLevels", Default: "all=info", Allowed: "subsystem=level values separated by commas", About: "Log level of each subsystem.", Set: s.setLogLevels},
+		{Section: "Observability", Key: "Pprof", Default: "Off", Allowed: "On or Off", About: "Profiling endpoint on the admin address.", Set: spec.Choice(&s.Pprof, "On", "Off")},
+	}
+}
+
+func (s *Settings) setLogLevels(value string) bool {
+	s.LogLevels = value
+	_, err := logs.New(nil, "", value)
+	return err == nil
+}
+
+func isAddress(value string) bool {
+	host, port, err := net.SplitHostPort(value)
+	if err != nil {
+		return false
+	}
+	if _, err := netip.ParseAddr(host); err != nil {
+		return false
+	}
+	number, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && number > 0
+}
+
+func address(into *string) func(string) bool {
+	return func(value string) bool {
+		*into = value
+		return isAddress(value)
+	}
+}
+
+// sameAddress stands for the listening address.
+const sameAddress = "Same"
+
+func advertised(into *string) func(string) bool {
+	return func(value string) bool {
+		*into = value
+		return value == sameAddress || isAddress(value)
+	}
+}
+
+func addresses(into *[]string) func(string) bool {
+	return func(value string) bool {
+		*into = nil
+		if value == "none" {
+			return true
+		}
+		for item := range strings.SplitSeq(value, ",") {
+			if !isAddress(strings.TrimSpace(item)) {
+				return false
+			}
+			*into = append(*into, strings.TrimSpace(item))
+		}
+		return true
+	}
+}
+
+// Parse returns the checked settings; a refused value gives a *spec.FieldError.
+func Parse(file string, text []byte) (Settings, error) {
+	var s Settings
+	if err := spec.ParseFields(file, text, s.Fields()); err != nil {
+		return Settings{}, err
+	}
+	if s.CallerAdvertised == sameAddress {
+		s.CallerAdvertised = s.CallerAddress
+	}
+	if s.PeerAdvertised == sameAddress {
+		s.PeerAdvertised = s.PeerAddress
+	}
+	if s.FailAfter < 2*s.HeartbeatPeriod {
+		return Settings{}, &spec.FieldError{File: file, Section: "Membership", Key: "FailAfterMillis", Value: s.FailAfter.String(), Allowed: "at least twice HeartbeatMillis"}
+	}
+	return s, nil
+}
+
+// Load reads the settings from a file.
+func Load(path string) (Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, eris.Wrapf(err, "reading settings %s", path)
+	}
+	return Parse(path, text)
+}
--- /dev/null
+++ b/internal/entry/counters.go
@@ -0,0 +1,34 @@
+package entry
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// counters are the metrics that are not labelled by service.
+type counters struct {
+	heartbeatsSent   *metrics.Counter
+	heartbeatsFailed *metrics.Counter
+	recordsRead      *metrics.Counter
+	recordsRefused   *metrics.Counter
+	recordsAppended  *metrics.Counter
+	logErrors        *metrics.Counter
+	probes           *metrics.Counter
+	forwards         *metrics.Counter
+	replays          *metrics.Counter
+	added            *metrics.Histogram
+}
+
+func newCounters(set *metrics.Set) counters {
+	return counters{
+		heartbeatsSent:   set.NewCounter("curranttiller_heartbeats_sent_total"),
+		heartbeatsFailed: set.NewCounter("curranttiller_heartbeats_failed_total"),
+		recordsRead:      set.NewCounter("curranttiller_log_records_read_total"),
+		recordsRefused:   set.NewCounter("curranttiller_log_records_malformed_total"),
+		recordsAppended:  set.NewCounter("curranttiller_log_records_appended_total"),
+		logErrors:        set.NewCounter("curranttiller_log_errors_total"),
+		probes:           set.NewCounter("curranttiller_probes_total"),
+		forwards:         set.NewCounter("curranttiller_forwards_total"),
+		replays:          set.NewCounter("curranttiller_answers_replayed_total"),
+		added:            set.NewHistogram("curranttiller_added_latency_seconds"),
+	}
+}
--- /dev/null
+++ b/internal/entry/daemon.go
@@ -0,0 +1,206 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"gitlab.com/curranttiller/curranttiller/internal/config"
+	"gitlab.com/curranttiller/curranttiller/internal/logs"
+	"gitlab.com/curranttiller/curranttiller/internal/peer"
+	"gitlab.com/curranttiller/curranttiller/internal/plat"
+	"gitlab.com/curranttiller/curranttiller/pkg/event"
+	"gitlab.com/curranttiller/curranttiller/pkg/ledger"
+	"gitlab.com/curranttiller/curranttiller/pkg/member"
+	"gitlab.com/curranttiller/curranttiller/pkg/settle"
+	"gitlab.com/curranttiller/curranttiller/pkg/spec"
+)
+
+const (
+	// forgetFactor is how many fail times a silent member stays in the table.
+	forgetFactor = 12
+	// isolatedAfter is how long a host that reaches neither the log nor a peer goes on.
+	isolatedAfter = 9 * time.Second
+)
+
+// Daemon is one entry host.
+type Daemon struct {
+	settings    config.Settings
+	incarnation uint64
+	log         *slog.Logger
+	platLog     *slog.Logger
+	peerLog     *slog.Logger
+	events      *event.Ring
+	metrics     *metrics.Set
+	counters    counters
+	platform    *plat.Client
+	peers       *peer.Pool
+
+	// mu guards the members below; nothing blocks while it is held.
+	mu       sync.Mutex
+	members  *member.Table
+	reader   *ledger.Reader
+	restater *ledger.Restater
+	hosts    []plat.Host
+	services map[string]*service
+	ready    bool
+	leads    map[string]time.Duration
+	recent   []ledger.Outcome
+
+	keysMu sync.Mutex
+	keys   *settle.Home
+	joins  map[string]chan struct{}
+
+	// logContact and peerContact are the Unix times in ns of the last good exchange.
+	logContact  atomic.Int64
+	peerContact atomic.Int64
+	lastBeat    atomic.Int64
+	draining    atomic.Bool
+	requests    atomic.Uint64
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// New returns a daemon that is not started yet; now is its incarnation.
+func New(settings *config.Settings, loggers *logs.Set, now time.Time) *Daemon {
+	incarnation := uint64(now.UnixNano())
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &Daemon{
+		settings:    *settings,
+		incarnation: incarnation,
+		log:         loggers.For("entry"),
+		platLog:     loggers.For("plat"),
+		peerLog:     loggers.For("peer"),
+		events:      event.NewRing(settings.Name, incarnation, settings.EventsKept, time.Now),
+		metrics:     metrics.NewSet(),
+		platform:    plat.NewClient(settings.Platform),
+		peers:       peer.NewPool(),
+		reader:      ledger.New(validateDocument),
+		restater:    ledger.NewRestater(settings.LogRetention, now),
+		services:    make(map[string]*service),
+		leads:       make(map[string]time.Duration),
+		joins:       make(map[string]chan struct{}),
+		ctx:         ctx,
+		cancel:      cancel,
+	}
+	d.counters = newCounters(d.metrics)
+	d.members = member.New(d.selfInfo(), member.Timing{
+		FailAfter:   settings.FailAfter,
+		ForgetAfter: forgetFactor * settings.FailAfter,
+	}, incarnation)
+	d.keys = settle.New(settings.Name, incarnation, settle.Limits{
+		Keys:  settings.KeysRemembered,
+		Bytes: settings.AnswerBytesRemembered,
+	})
+	return d
+}
+
+func (d *Daemon) selfInfo() member.Info {
+	return member.Info{
+		Name:          d.settings.Name,
+		Incarnation:   d.incarnation,
+		FailureDomain: d.settings.FailureDomain,
+		CallerAddress: d.settings.CallerAdvertised,
+		PeerAddress:   d.settings.PeerAdvertised,
+		AdminAddress:  d.settings.AdminAddress,
+	}
+}
+
+func validateDocument(text string) (string, error) {
+	document, err := spec.Parse("document", []byte(text))
+	return document.Service, err
+}
+
+// Start runs the loops of the daemon until Close.
+func (d *Daemon) Start() {
+	d.log.Info("entry host started", "Incarnation", d.incarnation, "FailureDomain", d.settings.FailureDomain)
+	d.events.Add(event.Event{Kind: "HostStarted"})
+	now := time.Now().UnixNano()
+	d.logContact.Store(now)
+	d.peerContact.Store(now)
+	d.lastBeat.Store(now)
+	d.done.Go(d.runMembers)
+	d.done.Go(d.runDocuments)
+	d.done.Go(d.runHosts)
+	d.done.Go(d.runTimers)
+}
+
+// Leave takes the host out of callers' answers and tells every member.
+func (d *Daemon) Leave(ctx context.Context) {
+	if d.draining.Swap(true) {
+		return
+	}
+	d.mu.Lock()
+	d.members.Leave()
+	d.advanceKeys()
+	members := d.members.Alive(time.Now())
+	d.refreshHolding()
+	d.mu.Unlock()
+	d.events.Add(event.Event{Kind: "HostLeaving", Cause: "graceful stop"})
+	var telling sync.WaitGroup
+	for _, m := range members {
+		if m.Name != d.settings.Name {
+			telling.Go(func() { d.beat(ctx, m.PeerAddress, m.Info) })
+		}
+	}
+	telling.Wait()
+}
+
+// HoldTime is how long callers may still keep an answer that names this host.
+func (d *Daemon) HoldTime() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	longest := time.Duration(0)
+	for _, s := range d.services {
+		longest = max(longest, s.document.DirectoryHold)
+	}
+	return longest
+}
+
+// Close stops the loops and waits for them.
+func (d *Daemon) Close() {
+	d.cancel()
+	d.done.Wait()
+	d.peers.Close()
+	d.platform.Close()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.services {
+		s.close()
+	}
+	d.log.Info("entry host stopped")
+}
+
+// Events returns the kept events that match.
+func (d *Daemon) Events(filter event.Filter) []event.Event {
+	return d.events.Events(filter)
+}
+
+// Metrics returns the daemon's metrics.
+func (d *Daemon) Metrics() *metrics.Set {
+	return d.metrics
+}
+
+// isIsolated reports whether the host must assume that others went on without
+// it. A host that never knew another one goes on alone.
+func (d *Daemon) isIsolated(now time.Time) bool {
+	heard := max(d.logContact.Load(), d.peerContact.Load())
+	if now.UnixNano()-heard < int64(isolatedAfter) {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.members.Members(now)) > 1
+}
+
+// isResuming reports whether the process has just been paused: it then waits
+// for a beat of its own clock before it says anything about others.
+func (d *Daemon) isResuming(now time.Time) bool {
+	return now.UnixNano()-d.lastBeat.Load() > int64(d.settings.FailAfter/2+d.settings.HeartbeatPeriod)
+}
--- /dev/null
+++ b/internal/entry/directory.go
@@ -0,0 +1,81 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"gitlab.com/curranttiller/curranttiller/internal/route"
+	"gitlab.com/curranttiller/curranttiller/pkg/caller"
+	"gitlab.com/curranttiller/curranttiller/pkg/fault"
+	"gitlab.com/curranttiller/curranttiller/pkg/member"
+	"gitlab.com/curranttiller/curranttiller/pkg/settle"
+	"gitlab.com/curranttiller/curranttiller/pkg/steer"
+)
+
+// fallbackHosts is how many hosts beside the holders an answer names.
+const fallbackHosts = 2
+
+// Directory tells a caller which entry hosts to use for a service: the holders
+// with equal shares, the caller's failure domain first, then hosts to fall back on.
+func (d *Daemon) Directory(service, failureDomain string) (caller.Directory, error) {
+	now := time.Now()
+	if d.isResuming(now) {
+		return caller.Directory{}, fault.New(fault.NotRun, http.StatusServiceUnavailable, "Resuming")
+	}
+	s, err := d.lookup(&route.Request{Service: service})
+	if err != nil {
+		return caller.Directory{}, err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	alive := d.aliveHosts(now)
+	answer := caller.Directory{Service: service, Version: s.version, HoldMillis: s.document.DirectoryHold.Milliseconds()}
+	holders := steer.Nearest(s.holders, failureDomain)
+	for _, h := range holders {
+		answer.Hosts = d.appendHost(answer.Hosts, now, h.Name, 1/float64(len(holders)))
+	}
+	for _, h := range steer.Ranked(service, alive) {
+		if len(answer.Hosts) >= len(holders)+fallbackHosts {
+			break
+		}
+		if !isListed(answer.Hosts, h.Name) {
+			answer.Hosts = d.appendHost(answer.Hosts, now, h.Name, 0)
+		}
+	}
+	return answer, nil
+}
+
+func isListed(hosts []caller.EntryHost, name string) bool {
+	for i := range hosts {
+		if hosts[i].Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// appendHost adds a living member to an answer; d.mu is held.
+func (d *Daemon) appendHost(hosts []caller.EntryHost, now time.Time, name string, share float64) []caller.EntryHost {
+	m, found := d.members.Lookup(now, name)
+	if !found || m.State != member.Alive {
+		return hosts
+	}
+	token := settle.Token{Host: m.Name, Incarnation: m.Incarnation, Counter: m.Counter}
+	return append(hosts, caller.EntryHost{
+		Name:          m.Name,
+		FailureDomain: m.FailureDomain,
+		Address:       m.CallerAddress,
+		Token:         token.String(),
+		Share:         share,
+	})
+}
+
+// DeadlineDefault returns the deadline of a request that states none.
+func (d *Daemon) DeadlineDefault(service string) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if s, found := d.services[service]; found {
+		return s.document.DeadlineDefault
+	}
+	return d.settings.DeadlineAtMost
+}
--- /dev/null
+++ b/internal/entry/members.go
@@ -0,0 +1,193 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/rotisserie/eris"
+
+	"gitlab.com/curranttiller/curranttiller/internal/peer"
+	"gitlab.com/curranttiller/curranttiller/internal/plat"
+	"gitlab.com/curranttiller/curranttiller/pkg/event"
+	"gitlab.com/curranttiller/curranttiller/pkg/member"
+	"gitlab.com/curranttiller/curranttiller/pkg/steer"
+)
+
+const (
+	heartbeatTimeout = time.Second
+	// keepCounters converts the time that keys are remembered into heartbeat counters.
+	keepKeysFor = 10 * time.Minute
+)
+
+func (d *Daemon) runMembers() {
+	d.beatSeeds()
+	ticker := time.NewTicker(d.settings.HeartbeatPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-ticker.C:
+			d.beatOnce()
+		}
+	}
+}
+
+// beatSeeds introduces the host to the peers of its settings.
+func (d *Daemon) beatSeeds() {
+	for _, address := range d.settings.Peers {
+		d.done.Go(func() { d.beat(d.ctx, address, member.Info{}) })
+	}
+}
+
+func (d *Daemon) beatOnce() {
+	now := time.Now()
+	d.mu.Lock()
+	d.members.Tick(now)
+	d.advanceKeys()
+	partner, found := d.members.Partner(now)
+	d.refreshHolding()
+	keep := make(map[string]bool)
+	for _, m := range d.members.Members(now) {
+		keep[m.PeerAddress] = true
+	}
+	d.mu.Unlock()
+	d.lastBeat.Store(now.UnixNano())
+	if !found {
+		d.beatSeeds()
+		return
+	}
+	d.peers.Keep(keep)
+	d.done.Go(func() { d.beat(d.ctx, partner.PeerAddress, partner.Info) })
+}
+
+// advanceKeys lets the keys of the current counter in before anyone can be told
+// of it; d.mu is held.
+func (d *Daemon) advanceKeys() {
+	d.keysMu.Lock()
+	defer d.keysMu.Unlock()
+	d.keys.Advance(d.members.Self().Counter, uint64(keepKeysFor/d.settings.HeartbeatPeriod))
+}
+
+// beat exchanges tables with one host; info is empty for a seed.
+func (d *Daemon) beat(ctx context.Context, address string, info member.Info) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	sent := time.Now()
+	own := d.heartbeat(sent)
+	d.counters.heartbeatsSent.Inc()
+	reply, err := d.peers.Heartbeat(ctx, address, &own)
+	if err != nil {
+		d.beatFailed(info, err)
+		return
+	}
+	d.takeHeartbeat(&reply, sent, time.Now())
+}
+
+func (d *Daemon) beatFailed(info member.Info, err error) {
+	d.counters.heartbeatsFailed.Inc()
+	d.peerLog.Debug("heartbeat failed", "Peer", info.Name, "Error", err.Error())
+	if status.Code(eris.Cause(err)) == codes.Unavailable && info.Name != "" {
+		d.mu.Lock()
+		d.members.Refused(time.Now(), info.Name, info.Incarnation)
+		d.refreshHolding()
+		d.mu.Unlock()
+	}
+}
+
+func (d *Daemon) heartbeat(now time.Time) peer.Heartbeat {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return peer.Heartbeat{
+		Sender:           d.settings.Name,
+		Incarnation:      d.incarnation,
+		Members:          d.members.Rows(now),
+		DocumentsThrough: d.reader.Through(),
+		Sent:             now,
+	}
+}
+
+// takeHeartbeat merges a reply and estimates the lead of the peer's clock as the
+// difference to the middle of the exchange.
+func (d *Daemon) takeHeartbeat(reply *peer.Heartbeat, sent, received time.Time) {
+	middle := sent.Add(received.Sub(sent) / 2)
+	d.mu.Lock()
+	d.leads[reply.Sender] = reply.Sent.Sub(middle)
+	d.mu.Unlock()
+	d.mergeHeartbeat(reply, received)
+}
+
+// Heartbeat implements peer.Handler.
+func (d *Daemon) Heartbeat(received *peer.Heartbeat) peer.Heartbeat {
+	now := time.Now()
+	d.mergeHeartbeat(received, now)
+	return d.heartbeat(now)
+}
+
+func (d *Daemon) mergeHeartbeat(received *peer.Heartbeat, now time.Time) {
+	d.peerContact.Store(now.UnixNano())
+	d.mu.Lock()
+	before := len(d.members.Alive(now))
+	d.members.Merge(now, received.Members)
+	after := len(d.members.Alive(now))
+	isBehind := received.DocumentsThrough > d.reader.Through()
+	sender, found := d.members.Lookup(now, received.Sender)
+	d.refreshHolding()
+	d.mu.Unlock()
+	if before != after {
+		d.events.Add(event.Event{Kind: "MembersChanged", Cause: "heartbeat of " + received.Sender})
+	}
+	if isBehind && found && now.UnixNano()-d.logContact.Load() > int64(2*d.settings.HeartbeatPeriod) {
+		d.done.Go(func() { d.learnFrom(sender.PeerAddress) })
+	}
+}
+
+// runHosts follows the platform's list of hosts.
+func (d *Daemon) runHosts() {
+	var revision uint64
+	ticker := time.NewTicker(d.settings.HostListPeriod)
+	defer ticker.Stop()
+	for {
+		list, changed, err := d.platform.Hosts(d.ctx, revision)
+		if err != nil {
+			d.platLog.Debug("reading the host list failed; the last one stays in use", "Error", err.Error())
+		}
+		if err == nil && changed {
+			revision = list.Revision
+			d.takeHosts(list.Hosts)
+		}
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (d *Daemon) takeHosts(hosts []plat.Host) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.hosts = hosts
+	d.refreshHolding()
+}
+
+// refreshHolding recomputes which targets this host holds; d.mu is held.
+func (d *Daemon) refreshHolding() {
+	hosts := d.aliveHosts(time.Now())
+	for _, s := range d.services {
+		s.setTargets(time.Now(), d.hosts, steer.Holders(s.name, hosts, s.document.Holders))
+	}
+}
+
+// aliveHosts lists the members that callers may be sent to; d.mu is held.
+func (d *Daemon) aliveHosts(now time.Time) []steer.Host {
+	alive := d.members.Alive(now)
+	hosts := make([]steer.Host, 0, len(alive))
+	for i := range alive {
+		hosts = append(hosts, steer.Host{Name: alive[i].Name, FailureDomain: alive[i].FailureDomain})
+	}
+	return hosts
+}
--- /dev/null
+++ b/internal/entry/service.go
@@ -0,0 +1,267 @@
+package entry
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"gitlab.com/curranttiller/curranttiller/internal/plat"
+	"gitlab.com/curranttiller/curranttiller/internal/target"
+	"gitlab.com/curranttiller/curranttiller/pkg/budget"
+	"gitlab.com/curranttiller/curranttiller/pkg/choose"
+	"gitlab.com/curranttiller/curranttiller/pkg/event"
+	"gitlab.com/curranttiller/curranttiller/pkg/spec"
+	"gitlab.com/curranttiller/curranttiller/pkg/steer"
+)
+
+// turn is what a waiting request gets from its pool: a grant or a refusal.
+type turn struct {
+	grant   choose.Grant
+	refusal string
+}
+
+// service is the shell around the pool of one service.
+type service struct {
+	daemon  *Daemon
+	name    string
+	metrics serviceMetrics
+
+	// document, version and holders are guarded by the daemon's mutex.
+	document spec.Document
+	version  uint64
+	holders  []steer.Host
+
+	mu        sync.Mutex
+	pool      *choose.Pool
+	client    *target.Client
+	limits    target.Limits
+	addresses map[string]string
+	turns     map[uint64]chan turn
+	probes    map[string]*budget.Share
+	ejected   map[string]bool
+	current   spec.Document
+}
+
+type serviceMetrics struct {
+	requests *metrics.Counter
+	retries  *metrics.Counter
+	hedges   *metrics.Counter
+	rescues  *metrics.Counter
+	refusals *metrics.Counter
+	probes   *metrics.Counter
+}
+
+func newServiceMetrics(set *metrics.Set, name string) serviceMetrics {
+	counter := func(what string) *metrics.Counter {
+		return set.GetOrCreateCounter(fmt.Sprintf("curranttiller_service_%s_total{service=%q}", what, name))
+	}
+	return serviceMetrics{
+		requests: counter("requests"), retries: counter("retries"), hedges: counter("hedges"), rescues: counter("rescues"),
+		refusals: counter("refusals"), probes: counter("probes"),
+	}
+}
+
+func newService(d *Daemon, name string, document *spec.Document) *service {
+	now := time.Now()
+	s := &service{
+		daemon:    d,
+		name:      name,
+		metrics:   newServiceMetrics(d.metrics, name),
+		pool:      choose.New(poolSettings(document, d.settings.FailureDomain), d.incarnation, now),
+		limits:    clientLimits(document),
+		addresses: make(map[string]string),
+		turns:     make(map[uint64]chan turn),
+		probes:    make(map[string]*budget.Share),
+		ejected:   make(map[string]bool),
+	}
+	s.client = target.NewClient(s.limits)
+	return s
+}
+
+func clientLimits(document *spec.Document) target.Limits {
+	return target.Limits{Connections: document.ConnectionShare(), Fresh: document.ConnectionFresh}
+}
+
+func poolSettings(document *spec.Document, failureDomain string) choose.Settings {
+	return choose.Settings{
+		Policy:            document.Policy,
+		Slots:             document.Slots,
+		QueueWaitAtMost:   document.QueueWaitAtMost,
+		AttemptsAtMost:    document.AttemptsAtMost,
+		ExtraAttemptShare: document.ExtraAttemptShare,
+		HedgeQuantile:     document.HedgeQuantile,
+		BusyShare:         document.BusyShare,
+		QuietAfter:        document.QuietAfter,
+		FailureDomain:     failureDomain,
+	}
+}
+
+// setDocument puts a version in force; the daemon's mutex is held.
+func (s *service) setDocument(now time.Time, document *spec.Document, version uint64) {
+	s.document = *document
+	s.version = version
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.current = *document
+	if limits := clientLimits(document); limits != s.limits {
+		s.client.Close()
+		s.limits = limits
+		s.client = target.NewClient(limits)
+	}
+	// A changed budget starts with nothing saved up.
+	s.probes = make(map[string]*budget.Share)
+	s.deliver(s.pool.SetSettings(poolSettings(document, s.daemon.settings.FailureDomain), now))
+}
+
+// setTargets takes the platform's list and the holders of the service; the daemon's mutex is held.
+func (s *service) setTargets(now time.Time, hosts []plat.Host, holders []steer.Host) {
+	s.holders = holders
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []steer.Target
+	targets := make([]choose.Target, 0, len(hosts))
+	for i := range hosts {
+		h := &hosts[i]
+		if h.Role != plat.RoleTarget || h.Service != s.name {
+			continue
+		}
+		s.addresses[h.Name] = h.Address
+		all = append(all, steer.Target{Name: h.Name, FailureDomain: h.FailureDomain})
+		targets = append(targets, choose.Target{Name: h.Name, FailureDomain: h.FailureDomain, Leaving: h.State == plat.StateLeaving})
+	}
+	held := make(map[string]bool)
+	for _, t := range steer.Held(s.name, all, holders, s.daemon.settings.Name) {
+		held[t.Name] = true
+	}
+	isPartitioned := s.document.Policy == spec.PolicyHeld
+	for i := range targets {
+		targets[i].Spare = isPartitioned && !held[targets[i].Name]
+	}
+	s.deliver(s.pool.SetTargets(now, targets))
+}
+
+// deliver hands grants and refusals to the waiting requests; s.mu is held.
+func (s *service) deliver(actions choose.Actions) {
+	for _, grant := range actions.Grants {
+		s.deliverTurn(grant.Request, turn{grant: grant})
+	}
+	for _, refusal := range actions.Refusals {
+		s.deliverTurn(refusal.Request, turn{refusal: refusal.Reason})
+	}
+}
+
+func (s *service) deliverTurn(id uint64, t turn) {
+	if waiter, found := s.turns[id]; found {
+		waiter <- t
+	}
+}
+
+// arrive registers a request with the pool; its turns come through the returned channel.
+func (s *service) arrive(request choose.Request, attempts int) <-chan turn {
+	// The channel holds every turn that a request can get, so that deliver never blocks.
+	waiter := make(chan turn, attempts+1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turns[request.ID] = waiter
+	s.deliver(s.pool.Arrive(time.Now(), request))
+	return waiter
+}
+
+func (s *service) finish(id uint64, attempt int, outcome choose.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deliver(s.pool.Finish(time.Now(), id, attempt, outcome))
+}
+
+func (s *service) retry(id uint64, isRescue bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	actions, allowed := s.pool.Retry(time.Now(), id, isRescue)
+	s.deliver(actions)
+	return allowed
+}
+
+func (s *service) hedge(id uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	actions := s.pool.Hedge(time.Now(), id)
+	s.deliver(actions)
+	return len(actions.Grants) > 0
+}
+
+// release forgets a request. A grant that came too late to be used gives its slot back.
+func (s *service) release(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	waiter := s.turns[id]
+	delete(s.turns, id)
+	for len(waiter) > 0 {
+		if unused := <-waiter; unused.refusal == "" {
+			s.deliver(s.pool.Finish(time.Now(), id, unused.grant.Attempt, choose.Outcome{Kind: choose.Unused}))
+		}
+	}
+	s.deliver(s.pool.Release(time.Now(), id))
+}
+
+// transport returns the client and the address of a target.
+func (s *service) transport(name string) (client *target.Client, address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.client, s.addresses[name]
+}
+
+// tick lets time pass in the pool and returns the targets to probe.
+func (s *service) tick(now time.Time) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deliver(s.pool.Tick(now))
+	s.noteEjections(now)
+	var due []string
+	for _, name := range s.pool.Probes(now) {
+		if s.share(name, now).Spend(now) {
+			due = append(due, name)
+		}
+	}
+	return due
+}
+
+// share returns the host's part of a target's measuring budget; s.mu is held.
+func (s *service) share(name string, now time.Time) *budget.Share {
+	share, found := s.probes[name]
+	if !found {
+		share = budget.NewShare(s.current.ProbeShare(), s.current.ProbeWindow, now)
+		s.probes[name] = share
+	}
+	return share
+}
+
+// noteEjections records targets that went out of use or came back; s.mu is held.
+func (s *service) noteEjections(now time.Time) {
+	for _, view := range s.pool.Views(now) {
+		if view.Ejected == s.ejected[view.Name] {
+			continue
+		}
+		s.ejected[view.Name] = view.Ejected
+		kind := "TargetEjected"
+		cause := view.EjectedCause
+		if !view.Ejected {
+			kind = "TargetOnTrial"
+			cause = "its time out of use is over"
+		}
+		s.daemon.events.Add(event.Event{Kind: kind, Service: s.name, Target: view.Name, Cause: cause})
+	}
+}
+
+func (s *service) probed(name string, report *choose.Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deliver(s.pool.Probed(time.Now(), name, report))
+}
+
+func (s *service) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.client.Close()
+}
--- /dev/null
+++ b/internal/front/server.go
@@ -0,0 +1,191 @@
+package front
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"gitlab.com/curranttiller/curranttiller/internal/route"
+	"gitlab.com/curranttiller/curranttiller/pkg/caller"
+	"gitlab.com/curranttiller/curranttiller/pkg/fault"
+	"gitlab.com/curranttiller/curranttiller/pkg/header"
+)
+
+const (
+	headTimeout       = 5 * time.Second
+	idleTimeout       = 60 * time.Second
+	maxHeadBytes      = 64 << 10
+	servicePrefix     = "/svc/"
+	keepAliveIdle     = 2 * time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 3
+)
+
+// Handler serves what callers ask for.
+type Handler interface {
+	// Serve answers a request; an error means that the answer was cut after its head.
+	Serve(ctx context.Context, request *route.Request, w http.ResponseWriter) error
+	// Directory tells which entry hosts to use; errors are *fault.Error.
+	Directory(service, failureDomain string) (caller.Directory, error)
+	// DeadlineDefault returns the deadline of a request that states none.
+	DeadlineDefault(service string) time.Duration
+}
+
+// Limits bound what one request may ask for.
+type Limits struct {
+	// Deadline is the longest deadline.
+	Deadline time.Duration
+	// BodyBytes is the largest body.
+	BodyBytes int64
+}
+
+// Server accepts the connections of callers.
+type Server struct {
+	handler Handler
+	limits  Limits
+	log     *slog.Logger
+	http    *http.Server
+	done    sync.WaitGroup
+}
+
+// NewServer returns a server for a handler.
+func NewServer(handler Handler, limits Limits, log *slog.Logger) *Server {
+	s := &Server{handler: handler, limits: limits, log: log}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /tiller/directory", s.directory)
+	mux.HandleFunc(servicePrefix, s.service)
+	s.http = &http.Server{
+		Handler:           mux,
+		ReadHeaderTimeout: headTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeadBytes,
+		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}
+	return s
+}
+
+// Listen opens the address of a caller door, with keep-alives that find silent connections.
+func Listen(ctx context.Context, address string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
+		Enable:   true,
+		Idle:     keepAliveIdle,
+		Interval: keepAliveInterval,
+		Count:    keepAliveCount,
+	}}
+	return config.Listen(ctx, "tcp", address)
+}
+
+// Start serves a listener until Close.
+func (s *Server) Start(listener net.Listener) {
+	s.done.Go(func() {
+		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			s.log.Error("serving callers ended", "Error", err.Error())
+		}
+	})
+}
+
+// Close refuses new connections, waits up to wait for requests in flight, and cuts the rest.
+func (s *Server) Close(wait time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	if s.http.Shutdown(ctx) != nil {
+		_ = s.http.Close()
+	}
+	s.done.Wait()
+}
+
+func (s *Server) directory(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	answer, err := s.handler.Directory(query.Get("service"), query.Get("failureDomain"))
+	if err != nil {
+		route.WriteFault(w, rand.Text(), route.AsFault(err))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func (s *Server) service(w http.ResponseWriter, r *http.Request) {
+	id := rand.Text()
+	request, failed := s.request(id, r)
+	if failed != nil {
+		if r.Header.Get(header.IdempotencyKey) != "" {
+			// Only the home of the key can say that no submission ran.
+			failed = failed.WithVerdict(fault.MayHaveRun)
+		}
+		s.log.Debug("caller's request refused", "Request", id, "Reason", failed.Reason)
+		route.WriteFault(w, id, failed)
+		return
+	}
+	request.Body = http.MaxBytesReader(w, r.Body, s.limits.BodyBytes)
+	if err := s.handler.Serve(r.Context(), request, w); err != nil {
+		// The head is out: only an aborted connection keeps a cut answer from looking whole.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *Server) request(id string, r *http.Request) (*route.Request, *fault.Error) {
+	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, servicePrefix), "/")
+	if r.ContentLength > s.limits.BodyBytes {
+		return nil, fault.New(fault.NotRun, http.StatusRequestEntityTooLarge, "BodyTooLarge")
+	}
+	left, failed := s.deadline(name, r)
+	if failed != nil {
+		return nil, failed
+	}
+	depth, failed := depthOf(r)
+	if failed != nil {
+		return nil, failed
+	}
+	request := &route.Request{
+		ID:            id,
+		Service:       name,
+		Method:        r.Method,
+		URI:           "/" + strings.TrimPrefix(strings.TrimPrefix(r.URL.RequestURI(), servicePrefix+name), "/"),
+		Header:        route.EndToEnd(r.Header),
+		ContentLength: r.ContentLength,
+		Deadline:      time.Now().Add(left),
+	}
+	request.Header.Set("Host", r.Host)
+	request.Header.Set(header.RequestID, id)
+	request.Header.Set(header.Depth, strconv.Itoa(depth+1))
+	return request, nil
+}
+
+func (s *Server) deadline(service string, r *http.Request) (time.Duration, *fault.Error) {
+	text := r.Header.Get(header.DeadlineMillis)
+	if text == "" {
+		return min(s.handler.DeadlineDefault(service), s.limits.Deadline), nil
+	}
+	millis, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || millis < 0 {
+		return 0, fault.New(fault.NotRun, http.StatusBadRequest, "BadDeadline")
+	}
+	if millis == 0 {
+		return 0, fault.New(fault.NotRun, http.StatusGatewayTimeout, "DeadlinePassed")
+	}
+	return min(time.Duration(millis)*time.Millisecond, s.limits.Deadline), nil
+}
+
+func depthOf(r *http.Request) (int, *fault.Error) {
+	text := r.Header.Get(header.Depth)
+	if text == "" {
+		return 0, nil
+	}
+	depth, err := strconv.Atoi(text)
+	if err != nil || depth < 0 {
+		return 0, fault.New(fault.NotRun, http.StatusBadRequest, "BadDepth")
+	}
+	if depth >= header.MaxDepth {
+		return 0, fault.New(fault.NotRun, http.StatusLoopDetected, "CallChainTooDeep")
+	}
+	return depth, nil
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,204 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/connectivity"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"gitlab.com/curranttiller/curranttiller/internal/peerpb"
+	"gitlab.com/curranttiller/curranttiller/internal/route"
+	"gitlab.com/curranttiller/curranttiller/pkg/fault"
+	"gitlab.com/curranttiller/curranttiller/pkg/ledger"
+)
+
+const (
+	connectTimeout = time.Second
+	backoffBase    = 100 * time.Millisecond
+	backoffMost    = 2 * time.Second
+	backoffFactor  = 1.6
+	backoffJitter  = 0.2
+	maxStatus      = 599
+)
+
+// Pool holds the connections to other entry hosts; it is safe for concurrent use.
+type Pool struct {
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+// NewPool returns a pool without connections.
+func NewPool() *Pool {
+	return &Pool{conns: make(map[string]*grpc.ClientConn)}
+}
+
+// Close closes every connection.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, conn := range p.conns {
+		_ = conn.Close()
+		delete(p.conns, address)
+	}
+}
+
+// Keep closes the connections to addresses that keep does not hold.
+func (p *Pool) Keep(keep map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, conn := range p.conns {
+		if !keep[address] {
+			_ = conn.Close()
+			delete(p.conns, address)
+		}
+	}
+}
+
+func (p *Pool) connect(address string) (*grpc.ClientConn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if conn, found := p.conns[address]; found {
+		return conn, nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepAliveTime, Timeout: keepAliveWait}),
+		grpc.WithDisableRetry(),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithNoProxy(),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: backoffBase, Multiplier: backoffFactor, Jitter: backoffJitter, MaxDelay: backoffMost},
+			MinConnectTimeout: connectTimeout,
+		}),
+	)
+	if err != nil {
+		return nil, eris.Wrapf(err, "connecting to entry host %s", address)
+	}
+	p.conns[address] = conn
+	return conn, nil
+}
+
+func (p *Pool) client(address string) (peerpb.PeerClient, error) {
+	conn, err := p.connect(address)
+	if err != nil {
+		return nil, err
+	}
+	return peerpb.NewPeerClient(conn), nil
+}
+
+// Heartbeat exchanges tables with the host at an address.
+func (p *Pool) Heartbeat(ctx context.Context, address string, heartbeat *Heartbeat) (Heartbeat, error) {
+	client, err := p.client(address)
+	if err != nil {
+		return Heartbeat{}, err
+	}
+	reply, err := client.Heartbeat(ctx, heartbeatToWire(heartbeat))
+	if err != nil {
+		return Heartbeat{}, eris.Wrapf(err, "heartbeat to %s", address)
+	}
+	return heartbeatFromWire(reply), nil
+}
+
+// Documents asks the host at an address for its claim and the texts not known.
+func (p *Pool) Documents(ctx context.Context, address string, known []ledger.Version) (Documents, error) {
+	client, err := p.client(address)
+	if err != nil {
+		return Documents{}, err
+	}
+	reply, err := client.Documents(ctx, &peerpb.DocumentsRequest{Protocol: Protocol, Known: versionsToWire(known, nil)})
+	if err != nil {
+		return Documents{}, eris.Wrapf(err, "documents from %s", address)
+	}
+	return documentsFromWire(reply), nil
+}
+
+// Forward passes a request to the host at an address and copies its answer to w.
+// A *fault.Error means that nothing was written to w; route.ErrCut means that the answer was cut.
+func (p *Pool) Forward(ctx context.Context, address string, request *route.Request, w http.ResponseWriter) error {
+	conn, err := p.connect(address)
+	if err != nil {
+		return fault.Wrap(err, fault.NotRun, http.StatusServiceUnavailable, "EntryHostUnreachable")
+	}
+	if err := waitReady(ctx, conn); err != nil {
+		return fault.Wrap(err, fault.NotRun, http.StatusServiceUnavailable, "EntryHostUnreachable")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := peerpb.NewPeerClient(conn).Forward(ctx)
+	if err != nil {
+		return fault.Wrap(err, fault.NotRun, http.StatusServiceUnavailable, "EntryHostUnreachable")
+	}
+	head := &peerpb.ForwardPart{Part: &peerpb.ForwardPart_Head{Head: requestToWire(request, time.Now())}}
+	if err := stream.Send(head); err != nil {
+		return fault.Wrap(err, fault.MayHaveRun, http.StatusBadGateway, "EntryHostLost")
+	}
+	// The body may still be on its way when the answer is complete; its reader
+	// fails as soon as the request is over, which ends this goroutine.
+	go sendBody(stream, request.Body, cancel)
+	return copyAnswer(stream, w)
+}
+
+// waitReady waits for a connection, so that a host that refuses connections is known before anything is sent.
+func waitReady(ctx context.Context, conn *grpc.ClientConn) error {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	for state := conn.GetState(); state != connectivity.Ready; state = conn.GetState() {
+		if state == connectivity.TransientFailure || state == connectivity.Shutdown {
+			return eris.Errorf("connection is in state %s", state)
+		}
+		conn.Connect()
+		if !conn.WaitForStateChange(ctx, state) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func sendBody(stream grpc.BidiStreamingClient[peerpb.ForwardPart, peerpb.ForwardPart], body io.Reader, cancel func()) {
+	buffer := make([]byte, bodyPartBytes)
+	for body != nil {
+		n, err := body.Read(buffer)
+		if n > 0 && stream.Send(&peerpb.ForwardPart{Part: &peerpb.ForwardPart_Body{Body: buffer[:n]}}) != nil {
+			return
+		}
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			cancel()
+			return
+		}
+	}
+	_ = stream.Send(&peerpb.ForwardPart{Part: &peerpb.ForwardPart_End{End: true}})
+	_ = stream.CloseSend()
+}
+
+func copyAnswer(stream grpc.BidiStreamingClient[peerpb.ForwardPart, peerpb.ForwardPart], w http.ResponseWriter) error {
+	part, err := stream.Recv()
+	if err != nil {
+		return fault.Wrap(err, fault.MayHaveRun, http.StatusBadGateway, "EntryHostLost")
+	}
+	head := part.GetHead()
+	if head == nil || head.GetStatus() < http.StatusOK || head.GetStatus() > maxStatus {
+		return fault.New(fault.MayHaveRun, http.StatusBadGateway, "EntryHostAnsweredBadly")
+	}
+	for name, values := range headersFromWire(head.GetHeaders()) {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(int(head.GetStatus()))
+	_, err = io.Copy(w, &partReader{receive: stream.Recv})
+	if err != nil {
+		return route.ErrCut
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peer/convert.go
@@ -0,0 +1,158 @@
+package peer
+
+import (
+	"net/http"
+	"time"
+
+	"gitlab.com/curranttiller/curranttiller/internal/peerpb"
+	"gitlab.com/curranttiller/curranttiller/internal/route"
+	"gitlab.com/curranttiller/curranttiller/pkg/ledger"
+	"gitlab.com/curranttiller/curranttiller/pkg/member"
+)
+
+// Protocol is the version of the protocol between entry hosts.
+const Protocol = 1
+
+// Heartbeat is one host's side of an exchange of tables.
+type Heartbeat struct {
+	Sender           string
+	Incarnation      uint64
+	Members          []member.Info
+	DocumentsThrough uint64
+	Sent             time.Time
+	Reports          []Report
+}
+
+// Report is a measurement of one target that another host made.
+type Report struct {
+	Service string
+	Target  string
+	Running int
+	Waiting int
+	Healthy bool
+	Age     time.Duration
+}
+
+// Documents is a host's claim about the documents in force, with the texts that the asker lacked.
+type Documents struct {
+	Claim   ledger.Claim
+	Current bool
+	Texts   map[ledger.Version]string
+}
+
+func heartbeatToWire(h *Heartbeat) *peerpb.HeartbeatMessage {
+	m := &peerpb.HeartbeatMessage{
+		Protocol:         Protocol,
+		Sender:           h.Sender,
+		Incarnation:      h.Incarnation,
+		DocumentsThrough: h.DocumentsThrough,
+		SentUnixNanos:    h.Sent.UnixNano(),
+	}
+	for i := range h.Members {
+		m.Members = append(m.Members, memberToWire(&h.Members[i]))
+	}
+	for _, r := range h.Reports {
+		m.Reports = append(m.Reports, reportToWire(r))
+	}
+	return m
+}
+
+func heartbeatFromWire(m *peerpb.HeartbeatMessage) Heartbeat {
+	h := Heartbeat{
+		Sender:           m.GetSender(),
+		Incarnation:      m.GetIncarnation(),
+		DocumentsThrough: m.GetDocumentsThrough(),
+		Sent:             time.Unix(0, m.GetSentUnixNanos()),
+	}
+	for _, row := range m.GetMembers() {
+		h.Members = append(h.Members, memberFromWire(row))
+	}
+	for _, r := range m.GetReports() {
+		h.Reports = append(h.Reports, reportFromWire(r))
+	}
+	return h
+}
+
+func memberToWire(i *member.Info) *peerpb.Member {
+	return &peerpb.Member{
+		Name: i.Name, Incarnation: i.Incarnation, Counter: i.Counter, FailureDomain: i.FailureDomain,
+		CallerAddress: i.CallerAddress, PeerAddress: i.PeerAddress, AdminAddress: i.AdminAddress, Leaving: i.Leaving,
+	}
+}
+
+func memberFromWire(m *peerpb.Member) member.Info {
+	return member.Info{
+		Name: m.GetName(), Incarnation: m.GetIncarnation(), Counter: m.GetCounter(), FailureDomain: m.GetFailureDomain(),
+		CallerAddress: m.GetCallerAddress(), PeerAddress: m.GetPeerAddress(), AdminAddress: m.GetAdminAddress(), Leaving: m.GetLeaving(),
+	}
+}
+
+func reportToWire(r Report) *peerpb.Report {
+	return &peerpb.Report{
+		Service: r.Service, Target: r.Target, Running: uint32(max(r.Running, 0)), Waiting: uint32(max(r.Waiting, 0)),
+		Healthy: r.Healthy, AgeMillis: uint32(min(r.Age.Milliseconds(), time.Hour.Milliseconds())),
+	}
+}
+
+func reportFromWire(r *peerpb.Report) Report {
+	return Report{
+		Service: r.GetService(), Target: r.GetTarget(), Running: int(r.GetRunning()), Waiting: int(r.GetWaiting()),
+		Healthy: r.GetHealthy(), Age: time.Duration(r.GetAgeMillis()) * time.Millisecond,
+	}
+}
+
+func versionsToWire(versions []ledger.Version, texts map[ledger.Version]string) []*peerpb.DocumentVersion {
+	wire := make([]*peerpb.DocumentVersion, 0, len(versions))
+	for _, v := range versions {
+		wire = append(wire, &peerpb.DocumentVersion{Service: v.Service, Version: v.Version, Text: []byte(texts[v])})
+	}
+	return wire
+}
+
+func documentsFromWire(r *peerpb.DocumentsReply) Documents {
+	d := Documents{Current: r.GetCurrent(), Texts: make(map[ledger.Version]string)}
+	d.Claim.Through = r.GetThrough()
+	for _, wire := range r.GetInForce() {
+		v := ledger.Version{Service: wire.GetService(), Version: wire.GetVersion()}
+		d.Claim.InForce = append(d.Claim.InForce, v)
+		if len(wire.GetText()) > 0 {
+			d.Texts[v] = string(wire.GetText())
+		}
+	}
+	return d
+}
+
+func headersToWire(from http.Header) []*peerpb.Header {
+	wire := make([]*peerpb.Header, 0, len(from))
+	for name, values := range from {
+		for _, value := range values {
+			wire = append(wire, &peerpb.Header{Name: name, Value: value})
+		}
+	}
+	return wire
+}
+
+func headersFromWire(wire []*peerpb.Header) http.Header {
+	to := make(http.Header, len(wire))
+	for _, h := range wire {
+		to.Add(h.GetName(), h.GetValue())
+	}
+	return to
+}
+
+func requestToWire(r *route.Request, now time.Time) *peerpb.ForwardHead {
+	return &peerpb.ForwardHead{
+		Protocol: Protocol, Service: r.Service, Method: r.Method, Path: r.URI, Headers: headersToWire(r.Header),
+		ContentLength: r.ContentLength, DeadlineMillis: uint32(max(r.Deadline.Sub(now).Milliseconds(), 0)),
+		HomeIncarnation: r.HomeIncarnation, RequestId: r.ID,
+	}
+}
+
+func requestFromWire(head *peerpb.ForwardHead, now time.Time) *route.Request {
+	return &route.Request{
+		ID: head.GetRequestId(), Service: head.GetService(), Method: head.GetMethod(), URI: head.GetPath(),
+		Header: headersFromWire(head.GetHeaders()), ContentLength: head.GetContentLength(),
+		Deadline:        now.Add(time.Duration(head.GetDeadlineMillis()) * time.Millisecond),
+		HomeIncarnation: head.GetHomeIncarnation(), Forwarded: true,
+	}
+}
--- /dev/null
+++ b/internal/route/doc.go
@@ -0,0 +1,2 @@
+// Package route holds a request on its way through an entry host, whichever protocol brought it.
+package route
--- /dev/null
+++ b/internal/stand/cmds/app.go
@@ -0,0 +1,186 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/rotisserie/eris"
+
+	"gitlab.com/curranttiller/curranttiller/internal/stand/demo"
+	"gitlab.com/curranttiller/curranttiller/internal/stand/platf"
+	"gitlab.com/curranttiller/curranttiller/internal/stand/server"
+	"gitlab.com/curranttiller/curranttiller/internal/stand/tamper"
+)
+
+// options are the flags of all commands.
+type options struct {
+	listen, control, routes, targets, program   string
+	retentionMillis, listLagMillis, appends     int
+	slots, waiting, probeMillis, connections    int
+	hosts, seconds, repeats, services, perEntry int
+	seed                                        int
+}
+
+func defaults() *options {
+	return &options{
+		retentionMillis: 3_600_000, appends: 500, slots: 4, waiting: 1000, probeMillis: 6, connections: 0,
+		hosts: 13, seconds: 10, repeats: 1, services: 4, perEntry: 0, seed: 1, program: "bin/curranttiller",
+	}
+}
+
+// Run parses the arguments, runs a command and returns its exit code.
+func Run(args []string) int {
+	o := defaults()
+	parser := flaggy.NewParser("standin")
+	parser.Description = "Stand-ins for what curranttiller meets, and the tools that measure it."
+	commands := []struct {
+		sub *flaggy.Subcommand
+		run func(ctx context.Context) error
+	}{
+		{platformCommand(o), o.runPlatform},
+		{targetCommand(o), o.runTargets},
+		{proxyCommand(o), o.runProxy},
+		{demoCommand(o), o.runDemo},
+	}
+	for _, c := range commands {
+		parser.AttachSubcommand(c.sub, 1)
+	}
+	if err := parser.ParseArgs(args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	for _, c := range commands {
+		if !c.sub.Used {
+			continue
+		}
+		if err := c.run(ctx); err != nil {
+			fmt.Fprintln(os.Stderr, "error:", err)
+			return 1
+		}
+		return 0
+	}
+	parser.ShowHelp()
+	return 2
+}
+
+func newCommand(name, about string) *flaggy.Subcommand {
+	sub := flaggy.NewSubcommand(name)
+	sub.Description = about
+	return sub
+}
+
+func platformCommand(o *options) *flaggy.Subcommand {
+	sub := newCommand("platform", "Runs a platform: a log and a list of hosts.")
+	sub.String(&o.listen, "", "listen", "address")
+	sub.Int(&o.retentionMillis, "", "retention-millis", "how long records are kept, in ms")
+	sub.Int(&o.listLagMillis, "", "list-lag-millis", "how late the host list is, in ms")
+	sub.Int(&o.appends, "", "appends-per-second", "appends allowed a second")
+	return sub
+}
+
+func (o *options) runPlatform(ctx context.Context) error {
+	listener, err := listen(o.listen)
+	if err != nil {
+		return err
+	}
+	p := platf.Start(listener, platf.Options{
+		Retention:        time.Duration(o.retentionMillis) * time.Millisecond,
+		AppendsPerSecond: o.appends,
+		ListLag:          time.Duration(o.listLagMillis) * time.Millisecond,
+	})
+	<-ctx.Done()
+	p.Close()
+	return nil
+}
+
+func listen(address string) (net.Listener, error) {
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", address)
+	return listener, eris.Wrapf(err, "listening on %s", address)
+}
+
+func targetCommand(o *options) *flaggy.Subcommand {
+	sub := newCommand("target", "Runs the targets of a service.")
+	sub.String(&o.targets, "", "targets", "NAME=ADDRESS values separated by commas")
+	sub.Int(&o.slots, "", "slots", "requests that a target works on at once")
+	sub.Int(&o.waiting, "", "waiting", "requests that may wait at a target")
+	sub.Int(&o.probeMillis, "", "probe-millis", "slot time of a probe, in ms")
+	sub.Int(&o.connections, "", "connections", "connections allowed to a target; 0 means any number")
+	return sub
+}
+
+func (o *options) runTargets(ctx context.Context) error {
+	var targets []*server.Target
+	for item := range strings.SplitSeq(o.targets, ",") {
+		name, address, _ := strings.Cut(item, "=")
+		listener, err := listen(address)
+		if err != nil {
+			return err
+		}
+		targets = append(targets, server.Start(listener, server.Options{
+			Name: name, Slots: o.slots, WaitingAtMost: o.waiting,
+			ProbeWork: time.Duration(o.probeMillis) * time.Millisecond, Connections: o.connections,
+		}))
+	}
+	<-ctx.Done()
+	for _, t := range targets {
+		t.Close()
+	}
+	return nil
+}
+
+func proxyCommand(o *options) *flaggy.Subcommand {
+	sub := newCommand("proxy", "Runs a fault-injecting TCP proxy.")
+	sub.String(&o.control, "", "control", "address that takes faults as JSON")
+	sub.String(&o.routes, "", "routes", "file with NAME=LISTEN>DESTINATION lines")
+	return sub
+}
+
+func (o *options) runProxy(ctx context.Context) error {
+	text, err := os.ReadFile(o.routes)
+	if err != nil {
+		return eris.Wrap(err, "reading the routes")
+	}
+	p := tamper.New()
+	for line := range strings.Lines(string(text)) {
+		name, way, _ := strings.Cut(strings.TrimSpace(line), "=")
+		from, to, _ := strings.Cut(way, ">")
+		listener, err := listen(from)
+		if err != nil {
+			return err
+		}
+		p.Add(name, listener, to)
+	}
+	control, err := listen(o.control)
+	if err != nil {
+		return err
+	}
+	go func() { _ = p.Control(control) }()
+	<-ctx.Done()
+	_ = control.Close()
+	p.Close()
+	return nil
+}
+
+func demoCommand(o *options) *flaggy.Subcommand {
+	sub := newCommand("demo", "Runs the whole path as separate processes and prints what came of it.")
+	sub.String(&o.program, "", "program", "path of the curranttiller binary")
+	return sub
+}
+
+func (o *options) runDemo(ctx context.Context) error {
+	self, err := os.Executable()
+	if err != nil {
+		return eris.Wrap(err, "finding the own binary")
+	}
+	return demo.Run(ctx, o.program, self, os.Stdout)
+}
--- /dev/null
+++ b/internal/stand/cmds/doc.go
@@ -0,0 +1,2 @@
+// Package cmds holds the commands of the standin program.
+package cmds
--- /dev/null
+++ b/internal/stand/demo/demo.go
@@ -0,0 +1,123 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"gitlab.com/curranttiller/curranttiller/internal/admin"
+	"gitlab.com/curranttiller/curranttiller/internal/stand/fleet"
+	"gitlab.com/curranttiller/curranttiller/internal/stand/load"
+	"gitlab.com/curranttiller/curranttiller/internal/stand/server"
+	"gitlab.com/curranttiller/curranttiller/pkg/caller"
+)
+
+const (
+	hosts       = 3
+	targets     = 4
+	slots       = 4
+	rate        = 300
+	length      = 6 * time.Second
+	meanWork    = 10 * time.Millisecond
+	timeout     = 2 * time.Second
+	startAfter  = 200 * time.Millisecond
+	percent     = 100.0
+	serviceName = "reservas"
+)
+
+// Run runs the demo and returns an error if any request was lost, wrong or run twice.
+func Run(ctx context.Context, program, standin string, out io.Writer) error {
+	dir, err := os.MkdirTemp("", "curranttiller-demo-")
+	if err != nil {
+		return eris.Wrap(err, "making a folder for the demo")
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	f, err := fleet.Start(ctx, &fleet.Options{
+		Program: program, Standin: standin, Dir: dir, Hosts: hosts, Domains: 3,
+		Services:  []fleet.Service{{Name: serviceName, Targets: targets, Slots: slots}},
+		Retention: time.Hour, ListLag: 100 * time.Millisecond,
+	})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := f.PublishAll(ctx); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "Started 1 platform, %d entry hosts, %d targets and 1 fault proxy as separate processes.\n\n", hosts, targets)
+	client := caller.New(caller.Settings{Entries: f.Entries(), FailureDomain: f.Domain(0), Timeout: timeout, Seed: 1})
+	defer client.Close()
+	plan := &load.Plan{Service: serviceName, Rate: rate, Length: length, Reads: 0.7, MeanWork: meanWork, Timeout: timeout, Seed: 1}
+	result := load.Run(ctx, client, plan, time.Now().Add(startAfter))
+	return report(ctx, f, result, out)
+}
+
+func report(ctx context.Context, f *fleet.Fleet, result *load.Result, out io.Writer) error {
+	runs, err := load.CollectRuns(ctx, f.TargetAddresses(""))
+	if err != nil {
+		return err
+	}
+	result.Count(runs)
+	printTotals(out, &result.Totals)
+	printLatency(out, "reads", result, true)
+	printLatency(out, "non-idempotent", result, false)
+	if err := printProbes(ctx, f, out); err != nil {
+		return err
+	}
+	if err := printVersions(ctx, f, out); err != nil {
+		return err
+	}
+	t := &result.Totals
+	if t.Bad() || t.Answered != t.Requests {
+		return eris.New("a request was lost, wrong or run twice")
+	}
+	return nil
+}
+
+func printTotals(out io.Writer, t *load.Totals) {
+	const columns = "%-10s %-10s %-8s %-12s %-7s %-7s %s\n"
+	fmt.Fprintf(out, columns, "Requests", "Answered", "NotRun", "MayHaveRun", "Failed", "Wrong", "RanTwice")
+	fmt.Fprintf(out, columns, fmt.Sprint(t.Requests), fmt.Sprint(t.Answered), fmt.Sprint(t.NotRun), fmt.Sprint(t.MayHave),
+		fmt.Sprint(t.Failed), fmt.Sprint(t.Wrong), fmt.Sprint(t.RanTwice))
+}
+
+func printLatency(out io.Writer, name string, result *load.Result, isRead bool) {
+	h := result.Latencies(func(o *load.Outcome) bool { return o.IsRead == isRead })
+	fmt.Fprintf(out, "Latency of %-15s p50 %6.2f ms   p99 %6.2f ms   (mean service time %v)\n",
+		name+":", millis(h.ValueAtQuantile(percent/2)), millis(h.ValueAtQuantile(99)), meanWork)
+}
+
+func millis(micros int64) float64 {
+	return float64(micros) / float64(time.Millisecond/time.Microsecond)
+}
+
+func printProbes(ctx context.Context, f *fleet.Fleet, out io.Writer) error {
+	probes := 0
+	for _, t := range f.Targets {
+		stats, err := load.Fetch[server.Stats](ctx, t.Direct, "/stats")
+		if err != nil {
+			return err
+		}
+		probes += stats.Probes
+	}
+	fmt.Fprintf(out, "Probes sent: %d\n\n", probes)
+	return nil
+}
+
+func printVersions(ctx context.Context, f *fleet.Fleet, out io.Writer) error {
+	fmt.Fprintf(out, "%-10s %-14s %-10s %s\n", "Host", "FailureDomain", "Service", "VersionInForce")
+	for _, h := range f.Hosts {
+		status, err := load.Fetch[admin.Status](ctx, h.Admin, "/tiller/status")
+		if err != nil {
+			return err
+		}
+		for i := range status.Services {
+			fmt.Fprintf(out, "%-10s %-14s %-10s %d\n", status.Host, status.FailureDomain, status.Services[i].Name, status.Services[i].Version)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/stand/fleet/fleet.go
@@ -0,0 +1,429 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"gitlab.com/curranttiller/curranttiller/internal/admin"
+	"gitlab.com/curranttiller/curranttiller/internal/plat"
+	"gitlab.com/curranttiller/curranttiller/internal/stand/load"
+	"gitlab.com/curranttiller/curranttiller/internal/stand/server"
+	"gitlab.com/curranttiller/curranttiller/internal/stand/tamper"
+)
+
+const (
+	pollPeriod   = 20 * time.Millisecond
+	startTimeout = 20 * time.Second
+)
+
+// Service describes the targets of one service.
+type Service struct {
+	Name    string
+	Targets int
+	Slots   int
+	// Document holds INI lines that follow the required ones.
+	Document string
+}
+
+// Options describe a system.
+type Options struct {
+	// Program and Standin are the paths of the binaries.
+	Program string
+	Standin string
+	// Dir takes settings and logs.
+	Dir string
+	// Hosts is the number of entry hosts, spread over Domains failure domains.
+	Hosts    int
+	Domains  int
+	Services []Service
+	// Retention and ListLag are those of the platform.
+	Retention time.Duration
+	ListLag   time.Duration
+	// Settings holds INI lines added to the settings of every entry host.
+	Settings string
+}
+
+// Host is one entry host of the system.
+type Host struct {
+	*Process
+
+	Name     string
+	Caller   string
+	Admin    string
+	Settings string
+}
+
+// Target is one target of the system.
+type Target struct {
+	Name    string
+	Service string
+	Domain  string
+	// Direct is its own address, and Address the one behind the proxy that entry hosts use.
+	Direct  string
+	Address string
+}
+
+// Fleet is a running system.
+type Fleet struct {
+	Options
+
+	Platform string
+	Control  string
+	Hosts    []*Host
+	Targets  []*Target
+
+	platform *Process
+	proxy    *Process
+	servers  map[string]*Process
+}
+
+// Start starts the platform, the targets, the proxy and the entry hosts, and
+// waits until the hosts know each other.
+func Start(ctx context.Context, options *Options) (*Fleet, error) {
+	f := &Fleet{Options: *options, servers: make(map[string]*Process)}
+	if err := f.start(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	if err := f.startPlatform(ctx); err != nil {
+		return err
+	}
+	if err := f.startTargets(ctx); err != nil {
+		return err
+	}
+	if err := f.startHosts(); err != nil {
+		return err
+	}
+	return f.AwaitMembers(ctx, f.Hosts)
+}
+
+func (f *Fleet) startPlatform(ctx context.Context) error {
+	addresses, err := FreeAddresses(2)
+	if err != nil {
+		return err
+	}
+	f.Platform = addresses[0]
+	f.Control = addresses[1]
+	f.platform, err = startProcess(f.Dir, "platform", f.Standin, "platform",
+		"--listen", f.Platform, "--retention-millis", fmt.Sprint(f.Retention.Milliseconds()),
+		"--list-lag-millis", fmt.Sprint(f.ListLag.Milliseconds()))
+	if err != nil {
+		return err
+	}
+	return await(ctx, "the platform", func() bool {
+		_, err := load.Fetch[map[string]any](ctx, f.Platform, "/stats")
+		return err == nil
+	})
+}
+
+// Domain returns the failure domain of the n-th host or target.
+func (f *Fleet) Domain(n int) string {
+	return fmt.Sprintf("domain%d", n%f.Domains+1)
+}
+
+func (f *Fleet) startTargets(ctx context.Context) error {
+	var hosts []plat.Host
+	for _, s := range f.Services {
+		addresses, err := FreeAddresses(2 * s.Targets)
+		if err != nil {
+			return err
+		}
+		names := make([]string, 0, s.Targets)
+		for i := range s.Targets {
+			t := &Target{
+				Name: fmt.Sprintf("%s%d", s.Name, i+1), Service: s.Name, Domain: f.Domain(i),
+				Direct: addresses[2*i], Address: addresses[2*i+1],
+			}
+			f.Targets = append(f.Targets, t)
+			names = append(names, t.Name+"="+t.Direct)
+			hosts = append(hosts, plat.Host{Name: t.Name, Role: plat.RoleTarget, Service: s.Name, Address: t.Address, FailureDomain: t.Domain, State: plat.StateLive})
+		}
+		process, err := startProcess(f.Dir, "targets-"+s.Name, f.Standin, "target",
+			"--targets", strings.Join(names, ","), "--slots", fmt.Sprint(s.Slots))
+		if err != nil {
+			return err
+		}
+		f.servers[s.Name] = process
+	}
+	return f.SetHosts(ctx, hosts)
+}
+
+// SetHosts changes rows of the platform's list.
+func (f *Fleet) SetHosts(ctx context.Context, hosts []plat.Host) error {
+	return Post(ctx, f.Platform, "/hosts", hosts)
+}
+
+func (f *Fleet) startHosts() error {
+	const perHost = 5
+	addresses, err := FreeAddresses(perHost * f.Options.Hosts)
+	if err != nil {
+		return err
+	}
+	var routes []string
+	for _, t := range f.Targets {
+		routes = append(routes, t.Name+"="+t.Address+">"+t.Direct)
+	}
+	peers := make([]string, 0, f.Options.Hosts)
+	for i := range f.Options.Hosts {
+		peers = append(peers, addresses[perHost*i+3])
+	}
+	platformRoutes, err := FreeAddresses(f.Options.Hosts)
+	if err != nil {
+		return err
+	}
+	for i := range f.Options.Hosts {
+		own := addresses[perHost*i : perHost*(i+1)]
+		name := fmt.Sprintf("entry%d", i+1)
+		routes = append(routes,
+			name+"-callers="+own[1]+">"+own[0],
+			name+"-peers="+own[3]+">"+own[2],
+			name+"-platform="+platformRoutes[i]+">"+f.Platform)
+		settings, err := f.writeSettings(name, f.Domain(i), own, platformRoutes[i], peers)
+		if err != nil {
+			return err
+		}
+		f.Hosts = append(f.Hosts, &Host{Name: name, Caller: own[1], Admin: own[4], Settings: settings})
+	}
+	return f.startProxyAndHosts(routes)
+}
+
+func (f *Fleet) startProxyAndHosts(routes []string) error {
+	path := filepath.Join(f.Dir, "routes")
+	if err := os.WriteFile(path, []byte(strings.Join(routes, "\n")), 0o600); err != nil {
+		return eris.Wrap(err, "writing the routes")
+	}
+	var err error
+	f.proxy, err = startProcess(f.Dir, "proxy", f.Standin, "proxy", "--control", f.Control, "--routes", path)
+	if err != nil {
+		return err
+	}
+	for _, h := range f.Hosts {
+		h.Process, err = startProcess(f.Dir, h.Name, f.Program, "entry", h.Settings)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+const seedPeers = 3
+
+func (f *Fleet) writeSettings(name, domain string, own []string, platform string, peers []string) (string, error) {
+	path := filepath.Join(f.Dir, name+".ini")
+	text := fmt.Sprintf(`[Host]
+Name = %s
+FailureDomain = %s
+CallerAddress = %s
+CallerAdvertised = %s
+PeerAddress = %s
+PeerAdvertised = %s
+AdminAddress = %s
+
+[Peers]
+Addresses = %s
+
+[Platform]
+Address = %s
+LogRetentionMillis = %d
+HostListPeriodMillis = 200
+%s
+`, name, domain, own[0], own[1], own[2], own[3], own[4], strings.Join(peers[:min(seedPeers, len(peers))], ","),
+		platform, f.Retention.Milliseconds(), f.Settings)
+	return path, eris.Wrap(os.WriteFile(path, []byte(text), 0o600), "writing settings")
+}
+
+// AwaitMembers waits until each of the hosts sees exactly the others alive.
+func (f *Fleet) AwaitMembers(ctx context.Context, hosts []*Host) error {
+	return await(ctx, "the entry hosts to know each other", func() bool {
+		for _, h := range hosts {
+			if f.aliveAt(ctx, h) != len(hosts) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (f *Fleet) aliveAt(ctx context.Context, h *Host) int {
+	status, err := load.Fetch[admin.Status](ctx, h.Admin, "/tiller/status")
+	if err != nil {
+		return 0
+	}
+	alive := 0
+	for i := range status.Members {
+		if status.Members[i].State == "Alive" {
+			alive++
+		}
+	}
+	return alive
+}
+
+// DocumentText returns the text of a service's document.
+func (s *Service) DocumentText() string {
+	return fmt.Sprintf("[Service]\nName = %s\nSlots = %d\n%s\n", s.Name, s.Slots, s.Document)
+}
+
+// Publish publishes the document of a service with the operators' command and returns its output.
+func (f *Fleet) Publish(ctx context.Context, s *Service, base uint64) (string, error) {
+	path := filepath.Join(f.Dir, s.Name+".ini")
+	if err := os.WriteFile(path, []byte(s.DocumentText()), 0o600); err != nil {
+		return "", eris.Wrap(err, "writing a document")
+	}
+	out, err := exec.CommandContext(ctx, f.Program, "publish", "--base", fmt.Sprint(base), "--author", "fleet",
+		"--platform", f.Platform, "--admin", f.AdminAddresses(), path).CombinedOutput()
+	return string(out), eris.Wrapf(err, "publishing %s: %s", s.Name, out)
+}
+
+// PublishAll publishes the first version of every document.
+func (f *Fleet) PublishAll(ctx context.Context) error {
+	for i := range f.Services {
+		if _, err := f.Publish(ctx, &f.Services[i], 0); err != nil {
+			return err
+		}
+	}
+	return f.awaitTargets(ctx)
+}
+
+func (f *Fleet) awaitTargets(ctx context.Context) error {
+	return await(ctx, "the entry hosts to know the targets", func() bool {
+		for _, h := range f.Hosts {
+			status, err := load.Fetch[admin.Status](ctx, h.Admin, "/tiller/status")
+			if err != nil || len(status.Services) != len(f.Services) {
+				return false
+			}
+			for i := range status.Services {
+				if len(status.Services[i].Targets) == 0 {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
+// AdminAddresses lists the admin addresses as commands take them.
+func (f *Fleet) AdminAddresses() string {
+	addresses := make([]string, 0, len(f.Hosts))
+	for _, h := range f.Hosts {
+		addresses = append(addresses, h.Admin)
+	}
+	return strings.Join(addresses, ",")
+}
+
+// Entries lists the caller addresses.
+func (f *Fleet) Entries() []string {
+	addresses := make([]string, 0, len(f.Hosts))
+	for _, h := range f.Hosts {
+		addresses = append(addresses, h.Caller)
+	}
+	return addresses
+}
+
+// TargetAddresses lists the direct addresses of the targets of a service, or of all for an empty name.
+func (f *Fleet) TargetAddresses(service string) []string {
+	var addresses []string
+	for _, t := range f.Targets {
+		if service == "" || t.Service == service {
+			addresses = append(addresses, t.Direct)
+		}
+	}
+	return addresses
+}
+
+// Host returns the host with a name, or nil.
+func (f *Fleet) Host(name string) *Host {
+	for _, h := range f.Hosts {
+		if h.Name == name {
+			return h
+		}
+	}
+	return nil
+}
+
+// Target returns the target with a name, or nil.
+func (f *Fleet) Target(name string) *Target {
+	for _, t := range f.Targets {
+		if t.Name == name {
+			return t
+		}
+	}
+	return nil
+}
+
+// Behave sets the behaviour of a target.
+func (f *Fleet) Behave(ctx context.Context, t *Target, behaviour *server.Behaviour) error {
+	return Post(ctx, t.Direct, "/control", behaviour)
+}
+
+// Tamper applies a fault of the proxy.
+func (f *Fleet) Tamper(ctx context.Context, action tamper.Action) error {
+	return Post(ctx, f.Control, "/", action)
+}
+
+// Close ends every process and waits for them.
+func (f *Fleet) Close() {
+	for _, h := range f.Hosts {
+		if h.Process != nil {
+			h.Signal(9)
+		}
+	}
+	for _, p := range f.servers {
+		p.Signal(9)
+	}
+	for _, p := range []*Process{f.proxy, f.platform} {
+		if p != nil {
+			p.Kill()
+		}
+	}
+}
+
+// await polls until a condition holds.
+func await(ctx context.Context, what string, holds func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	ticker := time.NewTicker(pollPeriod)
+	defer ticker.Stop()
+	for !holds() {
+		select {
+		case <-ctx.Done():
+			return eris.Errorf("gave up waiting for %s", what)
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// Post sends a JSON body to a stand-in.
+func Post(ctx context.Context, address, path string, body any) error {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return eris.Wrap(err, "encoding a control message")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(encoded))
+	if err != nil {
+		return eris.Wrap(err, "building a control message")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return eris.Wrapf(err, "sending a control message to %s%s", address, path)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return eris.Errorf("stand-in %s%s answered with status %d", address, path, response.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/stand/load/arrivals.go
@@ -0,0 +1,72 @@
+package load
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Plan describes the requests of one service.
+type Plan struct {
+	Service string
+	// Rate is the mean number of requests a second; JumpRate replaces it from JumpAt on, unless zero.
+	Rate     float64
+	JumpRate float64
+	JumpAt   time.Duration
+	// Length is the time of the plan.
+	Length time.Duration
+	// Reads is the share of reads; the others are non-idempotent.
+	Reads float64
+	// MeanWork is the mean service time at full speed.
+	MeanWork time.Duration
+	// IsHeavy gives a heavy-tailed service time in place of a short-tailed one.
+	IsHeavy bool
+	// Timeout is the deadline of each request.
+	Timeout time.Duration
+	// Unkeyed sends non-idempotent requests without a key.
+	Unkeyed bool
+	Seed    uint64
+}
+
+// Arrival is one request of a plan.
+type Arrival struct {
+	At     time.Duration
+	Work   time.Duration
+	IsRead bool
+}
+
+// Arrivals draws the requests of a plan; equal plans give equal requests.
+func (p *Plan) Arrivals() []Arrival {
+	rng := rand.New(rand.NewPCG(p.Seed, 0))
+	var all []Arrival
+	for at := time.Duration(0); ; {
+		rate := p.Rate
+		if p.JumpRate > 0 && at >= p.JumpAt {
+			rate = p.JumpRate
+		}
+		at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+		if at >= p.Length {
+			return all
+		}
+		all = append(all, Arrival{At: at, Work: p.work(rng), IsRead: rng.Float64() < p.Reads})
+	}
+}
+
+const (
+	// shortSpread spreads short-tailed service times evenly around the mean.
+	shortSpread = 0.5
+	// longShare of heavy-tailed requests take longFactor times the others' time.
+	longShare  = 0.05
+	longFactor = 8
+)
+
+func (p *Plan) work(rng *rand.Rand) time.Duration {
+	mean := float64(p.MeanWork)
+	if !p.IsHeavy {
+		return time.Duration(mean * (1 + shortSpread*(2*rng.Float64()-1)))
+	}
+	base := mean / (1 + longShare*(longFactor-1))
+	if rng.Float64() < longShare {
+		base *= longFactor
+	}
+	return time.Duration(base * rng.ExpFloat64())
+}
--- /dev/null
+++ b/internal/stand/load/ideal.go
@@ -0,0 +1,71 @@
+package load
+
+import (
+	"container/heap"
+	"time"
+
+	"gitlab.com/curranttiller/curranttiller/internal/stand/noise"
+)
+
+// slotEnd is a busy slot of the ideal queue.
+type slotEnd struct {
+	at     time.Duration
+	target int
+}
+
+type slotEnds []slotEnd
+
+func (h slotEnds) Len() int           { return len(h) }
+func (h slotEnds) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h slotEnds) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *slotEnds) Push(x any)        { *h = append(*h, x.(slotEnd)) }
+func (h *slotEnds) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+// Ideal returns the latency of each arrival under one central queue, in which a
+// free target is never idle while a request waits and the fastest free one goes first.
+func Ideal(arrivals []Arrival, schedules []*noise.Schedule, slots int) []time.Duration {
+	free := make([]int, len(schedules))
+	for i := range free {
+		free[i] = slots
+	}
+	busy := &slotEnds{}
+	latencies := make([]time.Duration, 0, len(arrivals))
+	for _, a := range arrivals {
+		start := a.At
+		for busy.Len() > 0 && (*busy)[0].at <= start {
+			free[heap.Pop(busy).(slotEnd).target]++
+		}
+		target := fastest(schedules, free, start, a.Work)
+		if target < 0 {
+			ended := heap.Pop(busy).(slotEnd)
+			start = ended.at
+			free[ended.target]++
+			target = ended.target
+		}
+		free[target]--
+		end := schedules[target].Finish(start, a.Work)
+		heap.Push(busy, slotEnd{at: end, target: target})
+		latencies = append(latencies, end-a.At)
+	}
+	return latencies
+}
+
+func fastest(schedules []*noise.Schedule, free []int, start, work time.Duration) int {
+	best := -1
+	var bestEnd time.Duration
+	for i, s := range schedules {
+		if free[i] == 0 {
+			continue
+		}
+		if end := s.Finish(start, work); best < 0 || end < bestEnd {
+			best = i
+			bestEnd = end
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/stand/load/run.go
@@ -0,0 +1,229 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rotisserie/eris"
+
+	"gitlab.com/curranttiller/curranttiller/internal/stand/server"
+	"gitlab.com/curranttiller/curranttiller/pkg/caller"
+	"gitlab.com/curranttiller/curranttiller/pkg/fault"
+)
+
+const (
+	lowestMicros  = 1
+	highestMicros = 120_000_000
+	digits        = 3
+	fetchTimeout  = 10 * time.Second
+)
+
+// Outcome is what a caller knows of one operation.
+type Outcome struct {
+	Operation string
+	IsRead    bool
+	At        time.Duration
+	Latency   time.Duration
+	Status    int
+	Verdict   fault.Verdict
+	// IsWrong says that the answer was not the caller's own or not whole.
+	IsWrong  bool
+	Target   string
+	Attempts int
+	Reason   string
+}
+
+// Totals count the outcomes of a run.
+type Totals struct {
+	Requests  int
+	Answered  int
+	NotRun    int
+	MayHave   int
+	Failed    int
+	Wrong     int
+	RanTwice  int
+	FalseNot  int
+	FalseRan  int
+	Resubmits int
+}
+
+// Bad reports whether a promise was broken.
+func (t *Totals) Bad() bool {
+	return t.Wrong+t.RanTwice+t.FalseNot+t.FalseRan > 0
+}
+
+// Result is the outcome of a plan.
+type Result struct {
+	Plan     Plan
+	Totals   Totals
+	Outcomes []Outcome
+	// Late is how far the sender fell behind its own schedule at worst.
+	Late time.Duration
+}
+
+// Run sends the requests of a plan at their times, whatever became of earlier ones.
+func Run(ctx context.Context, client *caller.Client, plan *Plan, start time.Time) *Result {
+	arrivals := plan.Arrivals()
+	result := &Result{Plan: *plan, Outcomes: make([]Outcome, len(arrivals))}
+	var sending sync.WaitGroup
+	for i, a := range arrivals {
+		if wait := time.Until(start.Add(a.At)); wait > 0 {
+			time.Sleep(wait)
+		}
+		if ctx.Err() != nil {
+			result.Outcomes = result.Outcomes[:i]
+			break
+		}
+		result.Late = max(result.Late, time.Since(start.Add(a.At)))
+		sending.Go(func() { result.Outcomes[i] = send(ctx, client, plan, a, i, start) })
+	}
+	sending.Wait()
+	return result
+}
+
+func send(ctx context.Context, client *caller.Client, plan *Plan, a Arrival, index int, start time.Time) Outcome {
+	operation := fmt.Sprintf("%s-%d-%d", plan.Service, plan.Seed, index)
+	request := &caller.Request{
+		Service: plan.Service,
+		Method:  http.MethodGet,
+		Path:    "/item/" + operation,
+		Header: http.Header{
+			server.Operation:  {operation},
+			server.WorkMicros: {strconv.FormatInt(a.Work.Microseconds(), 10)},
+		},
+	}
+	if !a.IsRead {
+		request.Method = http.MethodPost
+		request.Body = []byte(operation)
+	}
+	due := start.Add(a.At)
+	ctx, cancel := context.WithDeadline(ctx, due.Add(plan.Timeout))
+	defer cancel()
+	response, err := client.Do(ctx, request)
+	outcome := Outcome{Operation: operation, IsRead: a.IsRead, At: a.At, Latency: time.Since(due)}
+	if err != nil {
+		outcome.Verdict = fault.VerdictOf(err)
+		outcome.Reason = reasonOf(err)
+		return outcome
+	}
+	outcome.Status = response.Status
+	outcome.Verdict = response.Verdict
+	outcome.Attempts = response.Attempts
+	outcome.Reason = response.Header.Get("Tiller-Reason")
+	if response.Status == http.StatusOK {
+		outcome.Target, outcome.IsWrong = checkAnswer(response.Body, operation)
+	}
+	return outcome
+}
+
+func reasonOf(err error) string {
+	var failed *fault.Error
+	if errors.As(err, &failed) {
+		return failed.Reason
+	}
+	return err.Error()
+}
+
+func checkAnswer(body []byte, operation string) (target string, isWrong bool) {
+	var answer server.Answer
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return "", true
+	}
+	return answer.Target, answer.Operation != operation || answer.Path != "/item/"+operation
+}
+
+// Count compares the outcomes with the targets' own records of what ran.
+func (r *Result) Count(runs map[string]int) {
+	r.Totals = Totals{Requests: len(r.Outcomes)}
+	for i := range r.Outcomes {
+		r.Totals.add(&r.Outcomes[i], runs)
+	}
+}
+
+func (t *Totals) add(o *Outcome, runs map[string]int) {
+	switch {
+	case o.Status == http.StatusOK:
+		t.Answered++
+	case o.Verdict == fault.NotRun:
+		t.NotRun++
+	case o.Verdict == fault.MayHaveRun:
+		t.MayHave++
+	default:
+		t.Failed++
+	}
+	if o.IsWrong {
+		t.Wrong++
+	}
+	if o.Attempts > 1 {
+		t.Resubmits++
+	}
+	if o.IsRead {
+		return
+	}
+	ran := runs[o.Operation]
+	if ran > 1 {
+		t.RanTwice++
+	}
+	if o.Verdict == fault.NotRun && ran > 0 {
+		t.FalseNot++
+	}
+	if o.Verdict == fault.Ran && ran == 0 {
+		t.FalseRan++
+	}
+}
+
+// Latencies returns a histogram in µs of the answered requests that keep selects.
+func (r *Result) Latencies(keep func(o *Outcome) bool) *hdrhistogram.Histogram {
+	h := hdrhistogram.New(lowestMicros, highestMicros, digits)
+	for i := range r.Outcomes {
+		o := &r.Outcomes[i]
+		if o.Status == http.StatusOK && keep(o) {
+			_ = h.RecordValue(o.Latency.Microseconds())
+		}
+	}
+	return h
+}
+
+// CollectRuns adds up the records of targets.
+func CollectRuns(ctx context.Context, addresses []string) (map[string]int, error) {
+	all := make(map[string]int)
+	for _, address := range addresses {
+		runs, err := Fetch[map[string]int](ctx, address, "/runs")
+		if err != nil {
+			return nil, err
+		}
+		for operation, count := range runs {
+			all[operation] += count
+		}
+	}
+	return all, nil
+}
+
+// Fetch reads a JSON answer of a stand-in.
+func Fetch[T any](ctx context.Context, address, path string) (T, error) {
+	var answer T
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, http.NoBody)
+	if err != nil {
+		return answer, eris.Wrapf(err, "asking %s%s", address, path)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return answer, eris.Wrapf(err, "asking %s%s", address, path)
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return answer, eris.Wrapf(err, "reading %s%s", address, path)
+	}
+	return answer, eris.Wrapf(json.Unmarshal(text, &answer), "decoding %s%s", address, path)
+}
--- /dev/null
+++ b/internal/stand/platf/platform.go
@@ -0,0 +1,324 @@
+package platf
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"gitlab.com/curranttiller/curranttiller/internal/plat"
+)
+
+const (
+	maxAppendBytes = 1 << 20
+	trimPeriod     = 50 * time.Millisecond
+	maxReadRecords = 512
+	headTimeout    = 5 * time.Second
+)
+
+// Options are the limits of the stand-in.
+type Options struct {
+	// Retention is how long records are kept.
+	Retention time.Duration
+	// AppendsPerSecond bounds the appends; more are refused with status 429.
+	AppendsPerSecond int
+	// ListLag is how long a change of the host list takes to show.
+	ListLag time.Duration
+}
+
+// Faults is what POST /control sets; absent members reset.
+type Faults struct {
+	// Outage refuses every call.
+	Outage bool
+	// DelayMillis delays every call.
+	DelayMillis int
+	// LoseReplies drops the replies to appends after they took effect.
+	LoseReplies bool
+	// TrimTo drops the records before an offset at once.
+	TrimTo uint64
+}
+
+// Platform is the stand-in; it is safe for concurrent use.
+type Platform struct {
+	options Options
+	http    *http.Server
+	done    sync.WaitGroup
+	stop    chan struct{}
+
+	mu       sync.Mutex
+	streams  map[string]*stream
+	faults   Faults
+	hosts    map[string]plat.Host
+	list     plat.HostsReply
+	tokens   float64
+	filled   time.Time
+	appends  uint64
+	reads    uint64
+	bytesOut uint64
+}
+
+// stream is one log; changed is closed and replaced at every append.
+type stream struct {
+	first   uint64
+	records []plat.Record
+	changed chan struct{}
+}
+
+func (s *stream) next() uint64 {
+	return s.first + uint64(len(s.records))
+}
+
+// Start serves a listener until Close.
+func Start(listener net.Listener, options Options) *Platform {
+	p := &Platform{
+		options: options,
+		stop:    make(chan struct{}),
+		streams: make(map[string]*stream),
+		hosts:   make(map[string]plat.Host),
+		list:    plat.HostsReply{Revision: 1},
+		tokens:  float64(options.AppendsPerSecond),
+		filled:  time.Now(),
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /log/{stream}", p.withFaults(p.append))
+	mux.HandleFunc("GET /log/{stream}", p.withFaults(p.read))
+	mux.HandleFunc("GET /hosts", p.withFaults(p.getHosts))
+	mux.HandleFunc("POST /hosts", p.setHosts)
+	mux.HandleFunc("POST /control", p.control)
+	mux.HandleFunc("GET /stats", p.stats)
+	p.http = &http.Server{Handler: mux, ReadHeaderTimeout: headTimeout}
+	p.done.Go(func() { _ = p.http.Serve(listener) })
+	p.done.Go(p.trimLoop)
+	return p
+}
+
+// Close stops the stand-in and waits for it.
+func (p *Platform) Close() {
+	close(p.stop)
+	_ = p.http.Close()
+	p.done.Wait()
+}
+
+func (p *Platform) withFaults(handle http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		p.mu.Lock()
+		faults := p.faults
+		p.mu.Unlock()
+		if !pause(r.Context(), time.Duration(faults.DelayMillis)*time.Millisecond) {
+			return
+		}
+		if faults.Outage {
+			http.Error(w, "outage", http.StatusServiceUnavailable)
+			return
+		}
+		handle(w, r)
+	}
+}
+
+func pause(ctx context.Context, delay time.Duration) bool {
+	if delay == 0 {
+		return true
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(delay):
+		return true
+	}
+}
+
+// stream returns a stream, made on first use; p.mu is held.
+func (p *Platform) stream(name string) *stream {
+	s, found := p.streams[name]
+	if !found {
+		s = &stream{first: 1, changed: make(chan struct{})}
+		p.streams[name] = s
+	}
+	return s
+}
+
+func (p *Platform) append(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAppendBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	p.mu.Lock()
+	if !p.takeToken(time.Now()) {
+		p.mu.Unlock()
+		http.Error(w, "too many appends", http.StatusTooManyRequests)
+		return
+	}
+	s := p.stream(r.PathValue("stream"))
+	offset := s.next()
+	s.records = append(s.records, plat.Record{Offset: offset, UnixMillis: time.Now().UnixMilli(), Body: body})
+	close(s.changed)
+	s.changed = make(chan struct{})
+	p.appends++
+	isLost := p.faults.LoseReplies
+	p.mu.Unlock()
+	if isLost {
+		panic(http.ErrAbortHandler)
+	}
+	p.reply(w, plat.AppendReply{Offset: offset})
+}
+
+// takeToken spends one append of the allowed rate; p.mu is held.
+func (p *Platform) takeToken(now time.Time) bool {
+	rate := float64(p.options.AppendsPerSecond)
+	p.tokens = min(p.tokens+rate*now.Sub(p.filled).Seconds(), rate)
+	p.filled = now
+	if p.tokens < 1 {
+		return false
+	}
+	p.tokens--
+	return true
+}
+
+func (p *Platform) read(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		http.Error(w, "bad offset", http.StatusBadRequest)
+		return
+	}
+	millis, _ := strconv.Atoi(r.URL.Query().Get("waitMillis"))
+	timeout := time.After(time.Duration(millis) * time.Millisecond)
+	for {
+		reply, changed := p.readFrom(r.PathValue("stream"), from)
+		if len(reply.Records) > 0 || reply.First > from {
+			p.reply(w, reply)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			p.reply(w, reply)
+			return
+		case <-r.Context().Done():
+			return
+		case <-p.stop:
+			return
+		}
+	}
+}
+
+func (p *Platform) readFrom(name string, from uint64) (plat.ReadReply, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reads++
+	s := p.stream(name)
+	reply := plat.ReadReply{First: s.first, Next: s.next(), NowUnixMillis: time.Now().UnixMilli()}
+	if from < s.next() {
+		start := max(from, s.first) - s.first
+		end := min(start+maxReadRecords, uint64(len(s.records)))
+		reply.Records = append(reply.Records, s.records[start:end]...)
+	}
+	return reply, s.changed
+}
+
+func (p *Platform) trimLoop() {
+	ticker := time.NewTicker(trimPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-p.stop:
+			return
+		case now := <-ticker.C:
+			p.trim(now.Add(-p.options.Retention).UnixMilli(), 0)
+		}
+	}
+}
+
+func (p *Platform) trim(before int64, to uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.streams {
+		for len(s.records) > 0 && (s.records[0].UnixMillis < before || s.records[0].Offset < to) {
+			s.records = s.records[1:]
+			s.first++
+		}
+	}
+}
+
+func (p *Platform) getHosts(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	list := p.list
+	p.mu.Unlock()
+	if r.URL.Query().Get("revision") == strconv.FormatUint(list.Revision, 10) {
+		list.Hosts = nil
+	}
+	p.reply(w, list)
+}
+
+// setHosts adds or changes hosts; a host with an empty state is removed. The
+// change shows on the list after the lag.
+func (p *Platform) setHosts(w http.ResponseWriter, r *http.Request) {
+	var changes []plat.Host
+	if err := json.NewDecoder(r.Body).Decode(&changes); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	time.AfterFunc(p.options.ListLag, func() { p.changeHosts(changes) })
+	p.reply(w, struct{}{})
+}
+
+func (p *Platform) changeHosts(changes []plat.Host) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, h := range changes {
+		if h.State == "" {
+			delete(p.hosts, h.Name)
+		} else {
+			p.hosts[h.Name] = h
+		}
+	}
+	list := plat.HostsReply{Revision: p.list.Revision + 1}
+	for _, h := range p.hosts {
+		list.Hosts = append(list.Hosts, h)
+	}
+	p.list = list
+}
+
+func (p *Platform) control(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	p.faults = faults
+	p.mu.Unlock()
+	p.trim(0, faults.TrimTo)
+	p.reply(w, struct{}{})
+}
+
+// Stats counts the calls served.
+type Stats struct {
+	Appends uint64
+	Reads   uint64
+	Bytes   uint64
+}
+
+func (p *Platform) stats(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	counted := Stats{Appends: p.appends, Reads: p.reads, Bytes: p.bytesOut}
+	p.mu.Unlock()
+	p.reply(w, counted)
+}
+
+func (p *Platform) reply(w http.ResponseWriter, answer any) {
+	encoded, err := json.Marshal(answer)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	p.mu.Lock()
+	p.bytesOut += uint64(len(encoded))
+	p.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(encoded)
+}
--- /dev/null
+++ b/internal/stand/tamper/doc.go
@@ -0,0 +1,2 @@
+// Package tamper is a fault-injecting TCP proxy: delays, cuts, silent connections and lost replies.
+package tamper
--- /dev/null
+++ b/internal/stand/tamper/proxy.go
@@ -0,0 +1,239 @@
+package tamper
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	headTimeout = 5 * time.Second
+	bufferBytes = 32 << 10
+	dialTimeout = 2 * time.Second
+)
+
+// Action is a fault of a route.
+type Action struct {
+	// Route names the route; empty means every one.
+	Route string
+	// Cut closes all connections and refuses new ones until it is reset.
+	Cut bool
+	// Silence makes the connections that are open now carry nothing any more, in either direction, for good.
+	Silence bool
+	// DropReplies passes on requests and closes the connection in place of the reply.
+	DropReplies bool
+	// DelayMicros delays every piece of data one way, in µs.
+	DelayMicros int64
+}
+
+// Proxy carries connections along its routes; it is safe for concurrent use.
+type Proxy struct {
+	mu     sync.Mutex
+	routes map[string]*route
+	done   sync.WaitGroup
+}
+
+// route is one listener and its destination.
+type route struct {
+	name        string
+	destination string
+	listener    net.Listener
+
+	mu     sync.Mutex
+	action Action
+	pairs  map[*pair]bool
+}
+
+// pair is a connection and its continuation.
+type pair struct {
+	near, far net.Conn
+	silent    chan struct{}
+	once      sync.Once
+}
+
+// New returns a proxy without routes.
+func New() *Proxy {
+	return &Proxy{routes: make(map[string]*route)}
+}
+
+// Add serves a listener as a route to a destination.
+func (p *Proxy) Add(name string, listener net.Listener, destination string) {
+	r := &route{name: name, destination: destination, listener: listener, pairs: make(map[*pair]bool)}
+	p.mu.Lock()
+	p.routes[name] = r
+	p.mu.Unlock()
+	p.done.Go(func() { p.accept(r) })
+}
+
+// Close closes every connection and waits for the routes to end.
+func (p *Proxy) Close() {
+	p.mu.Lock()
+	for _, r := range p.routes {
+		_ = r.listener.Close()
+		r.closeAll()
+	}
+	p.mu.Unlock()
+	p.done.Wait()
+}
+
+// Apply puts a fault in force on its route.
+func (p *Proxy) Apply(action Action) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, r := range p.routes {
+		if action.Route == "" || action.Route == name {
+			r.apply(action)
+		}
+	}
+}
+
+// ServeHTTP takes actions as JSON, for the control address.
+func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var action Action
+	if err := json.NewDecoder(r.Body).Decode(&action); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.Apply(action)
+	_, _ = io.WriteString(w, "{}")
+}
+
+// Control serves actions on a listener.
+func (p *Proxy) Control(listener net.Listener) error {
+	server := &http.Server{Handler: p, ReadHeaderTimeout: headTimeout}
+	return server.Serve(listener)
+}
+
+func (r *route) apply(action Action) {
+	r.mu.Lock()
+	r.action = action
+	pairs := make([]*pair, 0, len(r.pairs))
+	for open := range r.pairs {
+		pairs = append(pairs, open)
+	}
+	r.mu.Unlock()
+	for _, open := range pairs {
+		if action.Silence {
+			open.silence()
+		}
+		if action.Cut {
+			open.close()
+		}
+	}
+}
+
+func (r *route) closeAll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for open := range r.pairs {
+		_ = open.near.Close()
+		_ = open.far.Close()
+		open.silence()
+	}
+}
+
+func (r *route) current() Action {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.action
+}
+
+func (o *pair) silence() {
+	o.once.Do(func() { close(o.silent) })
+}
+
+func (o *pair) close() {
+	_ = o.near.Close()
+	_ = o.far.Close()
+}
+
+func (p *Proxy) accept(r *route) {
+	for {
+		near, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		if r.current().Cut {
+			_ = near.Close()
+			continue
+		}
+		p.done.Go(func() { r.carry(near) })
+	}
+}
+
+func (r *route) carry(near net.Conn) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	far, err := dialer.DialContext(context.Background(), "tcp", r.destination)
+	if err != nil {
+		_ = near.Close()
+		return
+	}
+	o := &pair{near: near, far: far, silent: make(chan struct{})}
+	r.mu.Lock()
+	r.pairs[o] = true
+	r.mu.Unlock()
+	var copying sync.WaitGroup
+	copying.Go(func() { r.copy(o, far, near, false) })
+	copying.Go(func() { r.copy(o, near, far, true) })
+	copying.Wait()
+	o.close()
+	r.mu.Lock()
+	delete(r.pairs, o)
+	r.mu.Unlock()
+}
+
+// piece is data on its way, with the time at which it arrives.
+type piece struct {
+	data []byte
+	at   time.Time
+}
+
+// copy carries one direction. A silent pair swallows data but stays open.
+func (r *route) copy(o *pair, to, from net.Conn, isReply bool) {
+	pieces := make(chan piece, 1024)
+	var writing sync.WaitGroup
+	writing.Go(func() { r.write(o, to, pieces, isReply) })
+	for {
+		buffer := make([]byte, bufferBytes)
+		n, err := from.Read(buffer)
+		if n > 0 {
+			delay := time.Duration(r.current().DelayMicros) * time.Microsecond
+			pieces <- piece{data: buffer[:n], at: time.Now().Add(delay)}
+		}
+		if err != nil {
+			break
+		}
+	}
+	close(pieces)
+	writing.Wait()
+	select {
+	case <-o.silent:
+		// The end of a silent connection is not passed on either.
+	default:
+		if half, ok := to.(*net.TCPConn); ok {
+			_ = half.CloseWrite()
+		}
+	}
+}
+
+func (r *route) write(o *pair, to net.Conn, pieces <-chan piece, isReply bool) {
+	for next := range pieces {
+		if wait := time.Until(next.at); wait > 0 {
+			time.Sleep(wait)
+		}
+		select {
+		case <-o.silent:
+			continue
+		default:
+		}
+		if isReply && r.current().DropReplies {
+			o.close()
+			continue
+		}
+		_, _ = to.Write(next.data)
+	}
+}
--- /dev/null
+++ b/internal/target/conn.go
@@ -0,0 +1,60 @@
+package target
+
+import (
+	"net"
+	"sync"
+
+	"github.com/rotisserie/eris"
+)
+
+var errSealed = eris.New("connection was given up")
+
+// sealConn counts writes and can be sealed. After seal has returned that nothing
+// was written since a mark, nothing will be: that makes "not run" certain even
+// though the transport writes from a goroutine of its own.
+type sealConn struct {
+	net.Conn
+
+	mu      sync.Mutex
+	writes  uint64
+	sealed  bool
+	onClose func()
+}
+
+// Write counts the write before it happens, so that a partial one counts.
+func (c *sealConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	if c.sealed {
+		c.mu.Unlock()
+		return 0, errSealed
+	}
+	c.writes++
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
+// Close closes the connection and runs the close hook once.
+func (c *sealConn) Close() error {
+	c.mu.Lock()
+	hook := c.onClose
+	c.onClose = nil
+	c.mu.Unlock()
+	if hook != nil {
+		hook()
+	}
+	return c.Conn.Close()
+}
+
+func (c *sealConn) mark() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writes
+}
+
+// seal stops all further writes and reports whether any happened since the mark.
+func (c *sealConn) seal(mark uint64) (written bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	return c.writes != mark
+}
--- /dev/null
+++ b/internal/target/conn_other.go
@@ -0,0 +1,9 @@
+//go:build !linux
+
+package target
+
+import "syscall"
+
+func setUserTimeout(_, _ string, _ syscall.RawConn) error {
+	return nil
+}
--- /dev/null
+++ b/pkg/budget/share.go
@@ -0,0 +1,77 @@
+package budget
+
+import "time"
+
+// Share is a host's part of a budget of whole units per window. Over any
+// window of the budget's length it allows at most units spends, also when the
+// process was restarted or paused in between: it starts empty, the bucket holds
+// one unit, and the rest of the units accrue evenly.
+type Share struct {
+	units  int
+	window time.Duration
+	saved  float64
+	filled time.Time
+}
+
+// NewShare returns an empty share; units below one allow nothing.
+func NewShare(units int, window time.Duration, now time.Time) *Share {
+	return &Share{units: units, window: window, filled: now}
+}
+
+// WithLimit returns a copy with another limit, and nothing saved up.
+func (s *Share) WithLimit(units int, window time.Duration, now time.Time) *Share {
+	return NewShare(units, window, now)
+}
+
+// Spend takes one unit and reports whether there was one.
+//
+// The refill rate is (units-1)/window, or 1/window for a single unit with an
+// empty bucket afterwards: a window then holds at most one saved unit and
+// units-1 accrued ones.
+func (s *Share) Spend(now time.Time) bool {
+	if s.units < 1 {
+		return false
+	}
+	s.refill(now)
+	if s.saved < 1 {
+		return false
+	}
+	s.saved--
+	return true
+}
+
+func (s *Share) refill(now time.Time) {
+	elapsed := now.Sub(s.filled)
+	if elapsed <= 0 {
+		return
+	}
+	s.filled = now
+	rate := float64(max(s.units-1, 1)) / s.window.Seconds()
+	s.saved = min(s.saved+elapsed.Seconds()*rate, 1)
+}
+
+// Ratio bounds extra work to a share of the regular work.
+type Ratio struct {
+	share float64
+	burst float64
+	saved float64
+}
+
+// NewRatio returns a ratio that allows share extra spends per earned unit and saves up to burst.
+func NewRatio(share, burst float64) *Ratio {
+	return &Ratio{share: share, burst: burst}
+}
+
+// Earn records one unit of regular work.
+func (r *Ratio) Earn() {
+	r.saved = min(r.saved+r.share, r.burst)
+}
+
+// Spend takes one unit of extra work and reports whether it is allowed.
+func (r *Ratio) Spend() bool {
+	if r.saved < 1 {
+		return false
+	}
+	r.saved--
+	return true
+}
--- /dev/null
+++ b/pkg/choose/pool.go
@@ -0,0 +1,368 @@
+package choose
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"gitlab.com/curranttiller/curranttiller/pkg/budget"
+)
+
+const (
+	// loadFade is the time constant of the smoothed load.
+	loadFade = 500 * time.Millisecond
+	// extraBurst is how many extra attempts may be saved up.
+	extraBurst = 10
+	// usableShareInverse keeps at least a third of the targets from ejection.
+	usableShareInverse = 3
+)
+
+// pending is a request between its arrival and its release.
+type pending struct {
+	Request
+	attempts []attempt
+	arrived  time.Time
+}
+
+type attempt struct {
+	target *state
+	sent   time.Time
+}
+
+func (r *pending) hasTried(target string) bool {
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.target.Name == target })
+}
+
+// Pool chooses targets for the requests of one service; it is not safe for concurrent use.
+type Pool struct {
+	settings Settings
+	targets  []*state
+	requests map[uint64]*pending
+	waiting  *queue
+	typical  *typical
+	extra    *budget.Ratio
+	rng      *rand.Rand
+	turn     uint64
+	uses     uint64
+	load     float64
+	loadTime time.Time
+	known    bool
+	scratch  []*state
+}
+
+// New returns a pool without targets.
+func New(settings Settings, seed uint64, now time.Time) *Pool {
+	return &Pool{
+		settings: settings,
+		requests: make(map[uint64]*pending),
+		waiting:  newQueue(),
+		typical:  newTypical(settings.HedgeQuantile, now),
+		extra:    budget.NewRatio(settings.ExtraAttemptShare, extraBurst),
+		rng:      rand.New(rand.NewPCG(seed, uint64(settings.Slots))),
+		loadTime: now,
+	}
+}
+
+// SetSettings puts new limits in force; requests keep their place.
+func (p *Pool) SetSettings(settings Settings, now time.Time) Actions {
+	if settings.ExtraAttemptShare != p.settings.ExtraAttemptShare {
+		p.extra = budget.NewRatio(settings.ExtraAttemptShare, extraBurst)
+	}
+	p.typical.quantile = settings.HedgeQuantile
+	for _, s := range p.targets {
+		if s.limit >= p.settings.Slots {
+			s.limit = settings.Slots
+		}
+	}
+	p.settings = settings
+	return p.dispatch(now)
+}
+
+// SetTargets replaces the targets and keeps what is known of those that stay.
+// Targets that join a pool in use start cold; the first ones do not.
+func (p *Pool) SetTargets(now time.Time, targets []Target) Actions {
+	limit := p.settings.Slots
+	if p.known {
+		limit = 1
+	}
+	next := make([]*state, 0, len(targets))
+	for _, t := range targets {
+		s := p.find(t.Name)
+		if s == nil {
+			s = newState(t, limit, now)
+		}
+		s.Target = t
+		next = append(next, s)
+	}
+	p.known = p.known || len(targets) > 0
+	p.targets = next
+	return p.dispatch(now)
+}
+
+func (p *Pool) find(name string) *state {
+	for _, s := range p.targets {
+		if s.Name == name {
+			return s
+		}
+	}
+	return nil
+}
+
+// Arrive takes a request, which is then granted, refused or waits.
+func (p *Pool) Arrive(now time.Time, request Request) Actions {
+	p.extra.Earn()
+	r := &pending{Request: request, arrived: now}
+	if !p.hasTarget() {
+		return refuse(request.ID, ReasonNoTarget)
+	}
+	if !now.Before(request.Deadline) {
+		return refuse(request.ID, ReasonDeadline)
+	}
+	if p.waiting.len() > 0 && p.expectedWait() > p.patience(now, r) {
+		return refuse(request.ID, ReasonQueueFull)
+	}
+	p.requests[request.ID] = r
+	p.waiting.pushBack(r)
+	return p.dispatch(now)
+}
+
+func refuse(id uint64, reason string) Actions {
+	return Actions{Refusals: []Refusal{{Request: id, Reason: reason}}}
+}
+
+func (p *Pool) hasTarget() bool {
+	return slices.ContainsFunc(p.targets, func(s *state) bool { return !s.Leaving && !s.draining })
+}
+
+// patience is how long a request can wait and still be answered in time.
+func (p *Pool) patience(now time.Time, r *pending) time.Duration {
+	return min(p.settings.QueueWaitAtMost, r.Deadline.Sub(now)-p.typical.mean)
+}
+
+// expectedWait is the time until a request at the end of the queue gets a slot.
+func (p *Pool) expectedWait() time.Duration {
+	slots := p.settings.Slots * max(len(p.targets), 1)
+	return p.typical.mean * time.Duration(p.waiting.len()+1) / time.Duration(slots)
+}
+
+// dispatch grants waiting requests while there are free slots.
+func (p *Pool) dispatch(now time.Time) Actions {
+	var actions Actions
+	for r := p.waiting.first(); r != nil; r = p.waiting.first() {
+		if !now.Add(p.typical.median / 2).Before(r.Deadline) {
+			p.waiting.remove(r.ID)
+			actions.Refusals = append(actions.Refusals, Refusal{Request: r.ID, Reason: ReasonDeadline})
+			continue
+		}
+		target, cause := p.pick(now, r)
+		if target == nil {
+			break
+		}
+		p.waiting.remove(r.ID)
+		actions.Grants = append(actions.Grants, p.grant(now, r, target, cause))
+	}
+	p.noteLoad(now)
+	return actions
+}
+
+func (p *Pool) grant(now time.Time, r *pending, target *state, cause string) Grant {
+	target.start(now)
+	p.uses++
+	target.used = p.uses
+	r.attempts = append(r.attempts, attempt{target: target, sent: now})
+	return Grant{
+		Request:    r.ID,
+		Target:     target.Name,
+		Attempt:    len(r.attempts),
+		HedgeAfter: p.hedgeAfter(r),
+		Cause:      cause,
+	}
+}
+
+func (p *Pool) hedgeAfter(r *pending) time.Duration {
+	if !r.Idempotent || r.Single || p.settings.HedgeQuantile >= 1 || len(r.attempts) >= p.settings.AttemptsAtMost {
+		return 0
+	}
+	return p.typical.hedge
+}
+
+// Hedge asks for a second attempt of a request that is still out.
+func (p *Pool) Hedge(now time.Time, id uint64) Actions {
+	r, found := p.requests[id]
+	if !found || p.load > p.settings.BusyShare || p.waiting.len() > 0 {
+		return Actions{}
+	}
+	target, _ := p.pick(now, r)
+	if target == nil || r.hasTried(target.Name) || target.isEjected(now) || !p.extra.Spend() {
+		return Actions{}
+	}
+	return Actions{Grants: []Grant{p.grant(now, r, target, "hedge of a late answer")}}
+}
+
+// Retry puts a request back at the head of the queue after a failed attempt,
+// and reports whether that is allowed. A rescue from a connection that went
+// silent is not counted against the budget, since every connection can need only one.
+func (p *Pool) Retry(now time.Time, id uint64, isRescue bool) (Actions, bool) {
+	r, found := p.requests[id]
+	if !found || len(r.attempts) >= p.settings.AttemptsAtMost {
+		return Actions{}, false
+	}
+	if !isRescue && (r.Single || p.load > p.settings.BusyShare || !p.extra.Spend()) {
+		return Actions{}, false
+	}
+	p.waiting.pushFront(r)
+	return p.dispatch(now), true
+}
+
+// Finish ends one attempt, which counts from one, and frees its slot.
+func (p *Pool) Finish(now time.Time, id uint64, number int, outcome Outcome) Actions {
+	s := p.endAttempt(id, number)
+	if s == nil {
+		return Actions{}
+	}
+	if outcome.Report != nil {
+		s.hear(now, *outcome.Report)
+	}
+	p.judge(now, s, outcome)
+	return p.dispatch(now)
+}
+
+func (p *Pool) endAttempt(id uint64, number int) *state {
+	r, found := p.requests[id]
+	if !found || number < 1 || number > len(r.attempts) {
+		return nil
+	}
+	ended := r.attempts[number-1]
+	ended.target.end(ended.sent)
+	return ended.target
+}
+
+func (p *Pool) judge(now time.Time, s *state, outcome Outcome) {
+	switch outcome.Kind {
+	case Answered:
+		s.answered(now, outcome.Latency, p.typical.median, p.settings.Slots)
+		p.typical.add(now, outcome.Latency)
+		if s.slowInRow >= slowToEject || (s.slowInRow > 0 && s.trial) {
+			p.tryEject(now, s, "slow answers in a row")
+		}
+	case Errored:
+		s.errorsInRow++
+		if s.errorsInRow >= errorsToEject || s.trial {
+			p.tryEject(now, s, "errors in a row")
+		}
+	case Declined:
+		s.limit = max(s.inFlight, 1)
+	case Cancelled:
+		s.lastAnswer = now
+		s.lastLatency = max(outcome.Latency, p.typical.median)
+	case Unused:
+	}
+}
+
+// tryEject ejects a target if enough others remain.
+func (p *Pool) tryEject(now time.Time, s *state, cause string) {
+	remaining := 0
+	for _, other := range p.targets {
+		if other != s && other.wantsWork(now) && !other.trial {
+			remaining++
+		}
+	}
+	if remaining >= 1 && remaining*usableShareInverse >= len(p.targets) {
+		s.eject(now, cause)
+	}
+}
+
+// Release forgets a request, which must have no attempt in flight any more.
+func (p *Pool) Release(now time.Time, id uint64) Actions {
+	p.waiting.remove(id)
+	delete(p.requests, id)
+	return p.dispatch(now)
+}
+
+// Tick lets time pass: ejections end and deadlines of waiting requests pass.
+func (p *Pool) Tick(now time.Time) Actions {
+	return p.dispatch(now)
+}
+
+func (p *Pool) noteLoad(now time.Time) {
+	busy := p.waiting.len()
+	for _, s := range p.targets {
+		busy += s.inFlight
+	}
+	share := float64(busy) / float64(max(p.settings.Slots*len(p.targets), 1))
+	weight := 1 - math.Exp(-float64(now.Sub(p.loadTime))/float64(loadFade))
+	p.load += weight * (min(share, 1) - p.load)
+	p.loadTime = now
+}
+
+// Probes lists the targets that want a probe: quiet ones and those on trial.
+func (p *Pool) Probes(now time.Time) []string {
+	if p.settings.QuietAfter == 0 {
+		return nil
+	}
+	var names []string
+	for _, s := range p.targets {
+		if !s.Spare && !s.Leaving && s.inFlight == 0 && now.Sub(s.heard) > p.settings.QuietAfter {
+			names = append(names, s.Name)
+		}
+	}
+	return names
+}
+
+// Probed takes the result of a probe; nil means that it failed.
+func (p *Pool) Probed(now time.Time, target string, report *Report) Actions {
+	s := p.find(target)
+	if s == nil {
+		return Actions{}
+	}
+	if report == nil {
+		s.heard = now
+		s.errorsInRow++
+		if s.errorsInRow >= errorsToEject || s.trial {
+			p.tryEject(now, s, "failed probes")
+		}
+		return Actions{}
+	}
+	s.hear(now, *report)
+	return p.dispatch(now)
+}
+
+// View is what the pool knows of one target, for people.
+type View struct {
+	Target
+	InFlight     int
+	Limit        int
+	Reported     Report
+	ReportAge    time.Duration
+	Foreign      int
+	LastLatency  time.Duration
+	Ejected      bool
+	EjectedCause string
+	Draining     bool
+}
+
+// Views returns every target by name.
+func (p *Pool) Views(now time.Time) []View {
+	views := make([]View, 0, len(p.targets))
+	for _, s := range p.targets {
+		views = append(views, View{
+			Target: s.Target, InFlight: s.inFlight, Limit: min(s.limit, p.settings.Slots),
+			Reported: s.report, ReportAge: now.Sub(s.heard), Foreign: s.foreignLoad(now), LastLatency: s.lastLatency,
+			Ejected: s.isEjected(now), EjectedCause: s.ejectCause, Draining: s.draining || s.Leaving,
+		})
+	}
+	slices.SortFunc(views, func(a, b View) int { return strings.Compare(a.Name, b.Name) })
+	return views
+}
+
+// Waiting returns the number of queued requests.
+func (p *Pool) Waiting() int {
+	return p.waiting.len()
+}
+
+// Load returns the smoothed share of busy slots.
+func (p *Pool) Load() float64 {
+	return p.load
+}
--- /dev/null
+++ b/pkg/choose/target.go
@@ -0,0 +1,162 @@
+package choose
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// suspicionFade is how fast one slow answer stops counting against a target.
+	suspicionFade = 60 * time.Millisecond
+	// foreignReports is how many reports in a row must show foreign load before it counts.
+	foreignReports = 8
+	// foreignFade is how long reported foreign load counts without a new report.
+	foreignFade = 500 * time.Millisecond
+	// reportFade is how fast the Reports policy forgets a report.
+	reportFade = 100 * time.Millisecond
+	// errorsToEject is the number of errors in a row that eject a target.
+	errorsToEject = 3
+	// slowToEject is the number of slow answers in a row that eject a target.
+	slowToEject = 3
+	// slowFactor is how many times the median an answer must take to count as slow.
+	slowFactor = 5
+	// firstEjection and longestEjection bound the exponential time out of use.
+	firstEjection   = time.Second
+	longestEjection = 30 * time.Second
+)
+
+// state is what the pool knows of one target.
+type state struct {
+	Target
+	inFlight int
+	// sent holds the start of each attempt in flight, oldest first.
+	sent []time.Time
+	// limit is the ramp of a cold target: it grows by one per answer up to the slots.
+	limit int
+
+	lastLatency time.Duration
+	lastAnswer  time.Time
+	heard       time.Time
+
+	report     Report
+	reportTime time.Time
+	foreign    [foreignReports]int
+	foreignAt  int
+
+	errorsInRow int
+	slowInRow   int
+	ejections   int
+	ejectedTill time.Time
+	ejectCause  string
+	trial       bool
+	draining    bool
+	used        uint64
+}
+
+func newState(t Target, limit int, now time.Time) *state {
+	return &state{Target: t, limit: limit, heard: now}
+}
+
+// foreignLoad is the load that other hosts put on the target: the smallest
+// excess over the own requests in the last reports. The minimum keeps late
+// reports, which scatter both ways, from taking slots away.
+func (s *state) foreignLoad(now time.Time) int {
+	if now.Sub(s.reportTime) > foreignFade {
+		return 0
+	}
+	least := s.foreign[0]
+	for _, f := range s.foreign {
+		least = min(least, f)
+	}
+	return least
+}
+
+// free is the number of slots that a new request could take at once; a target
+// without own requests always has one, so that wrong reports cannot starve it.
+func (s *state) free(now time.Time, slots int) int {
+	left := min(slots, s.limit) - s.inFlight - s.foreignLoad(now)
+	if s.inFlight == 0 {
+		return max(left, 1)
+	}
+	return left
+}
+
+// suspicion is the expected slowness of the target as a latency: recent
+// evidence fades toward the typical latency, and an attempt that is still out counts with its age.
+func (s *state) suspicion(now time.Time, typical time.Duration) time.Duration {
+	expected := typical
+	if !s.lastAnswer.IsZero() {
+		weight := math.Exp(-float64(now.Sub(s.lastAnswer)) / float64(suspicionFade))
+		expected += time.Duration(weight * float64(s.lastLatency-typical))
+	}
+	if len(s.sent) > 0 {
+		expected = max(expected, now.Sub(s.sent[0]))
+	}
+	return expected
+}
+
+// reported is the load that the Reports policy sees: the last report faded with
+// age, and at least the own requests.
+func (s *state) reported(now time.Time) float64 {
+	weight := math.Exp(-float64(now.Sub(s.reportTime)) / float64(reportFade))
+	return max(weight*float64(s.report.Running+s.report.Waiting), 0) + float64(s.inFlight)
+}
+
+func (s *state) start(now time.Time) {
+	s.inFlight++
+	s.sent = append(s.sent, now)
+}
+
+func (s *state) end(sentAt time.Time) {
+	s.inFlight--
+	for i, at := range s.sent {
+		if at.Equal(sentAt) {
+			s.sent = append(s.sent[:i], s.sent[i+1:]...)
+			return
+		}
+	}
+}
+
+func (s *state) hear(now time.Time, report Report) {
+	s.report = report
+	s.reportTime = now
+	s.heard = now
+	s.draining = report.Draining
+	s.foreign[s.foreignAt%foreignReports] = max(report.Running+report.Waiting-s.inFlight, 0)
+	s.foreignAt++
+}
+
+func (s *state) answered(now time.Time, latency, typical time.Duration, slots int) {
+	s.lastLatency = latency
+	s.lastAnswer = now
+	s.heard = now
+	s.errorsInRow = 0
+	s.limit = min(s.limit+1, slots)
+	if typical > 0 && latency > slowFactor*typical {
+		s.slowInRow++
+		return
+	}
+	s.slowInRow = 0
+	s.trial = false
+	s.ejections = 0
+}
+
+// eject takes the target out of use for an exponentially growing time.
+func (s *state) eject(now time.Time, cause string) {
+	out := firstEjection << min(s.ejections, 5)
+	s.ejectedTill = now.Add(min(out, longestEjection))
+	s.ejections++
+	s.ejectCause = cause
+	s.errorsInRow = 0
+	s.slowInRow = 0
+	s.trial = true
+	s.limit = 1
+}
+
+func (s *state) isEjected(now time.Time) bool {
+	return now.Before(s.ejectedTill)
+}
+
+func (s *state) wantsWork(now time.Time) bool {
+	return !s.Leaving && !s.draining && !s.isEjected(now)
+}
--- /dev/null
+++ b/pkg/choose/types.go
@@ -0,0 +1,110 @@
+package choose
+
+import "time"
+
+// Settings are the limits of a pool; they come from the service's document.
+type Settings struct {
+	// Policy is one of the names in package spec.
+	Policy string
+	// Slots is the number of requests that a target works on at once.
+	Slots int
+	// QueueWaitAtMost bounds the wait for a free slot.
+	QueueWaitAtMost time.Duration
+	// AttemptsAtMost bounds the attempts of one request.
+	AttemptsAtMost int
+	// ExtraAttemptShare bounds retries and hedges as a share of requests.
+	ExtraAttemptShare float64
+	// HedgeQuantile is the latency quantile after which a read is hedged; 1 turns hedging off.
+	HedgeQuantile float64
+	// BusyShare is the load above which no extra attempts are made.
+	BusyShare float64
+	// QuietAfter is how long a target may go unheard before it wants a probe; zero turns probes off.
+	QuietAfter time.Duration
+	// FailureDomain is the entry host's own; targets in it are preferred among equals.
+	FailureDomain string
+}
+
+// Target is a target that the pool may use.
+type Target struct {
+	Name          string
+	FailureDomain string
+	// Leaving targets get no new work.
+	Leaving bool
+	// Spare targets are held by another host and used only when no own target is usable.
+	Spare bool
+}
+
+// Request is one request of a caller.
+type Request struct {
+	ID uint64
+	// Idempotent requests may be retried after they may have run, and hedged.
+	Idempotent bool
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+	// Single requests get no extra attempts, because a level above retries.
+	Single bool
+}
+
+// Grant tells the caller of the pool to send a request to a target.
+type Grant struct {
+	Request uint64
+	Target  string
+	// Attempt counts from one.
+	Attempt int
+	// HedgeAfter is when to ask for a hedge, counted from now; zero means never.
+	HedgeAfter time.Duration
+	// Cause says why this target was chosen.
+	Cause string
+}
+
+// Refusal tells the caller of the pool that a request is not run.
+type Refusal struct {
+	Request uint64
+	Reason  string
+}
+
+// Actions are the decisions of one step.
+type Actions struct {
+	Grants   []Grant
+	Refusals []Refusal
+}
+
+// Kind classifies the end of an attempt.
+type Kind int
+
+const (
+	// Answered means that the target gave a whole answer.
+	Answered Kind = iota
+	// Errored means that the target failed or answered with a server error.
+	Errored
+	// Declined means that the target refused the work as not run.
+	Declined
+	// Cancelled means that the attempt was given up from this side.
+	Cancelled
+	// Unused means that the grant came too late and nothing was sent.
+	Unused
+)
+
+// Report is what a target says of its own load.
+type Report struct {
+	// Running and Waiting count the requests at the target.
+	Running, Waiting int
+	// Draining targets want no new work.
+	Draining bool
+}
+
+// Outcome is the end of an attempt.
+type Outcome struct {
+	Kind Kind
+	// Latency is the time from sending to the whole answer.
+	Latency time.Duration
+	// Report is nil if the target sent none.
+	Report *Report
+}
+
+// Refusal reasons, also used as metric labels and header values.
+const (
+	ReasonQueueFull = "QueueFull"
+	ReasonNoTarget  = "NoTarget"
+	ReasonDeadline  = "DeadlinePassed"
+)
--- /dev/null
+++ b/pkg/member/table.go
@@ -0,0 +1,229 @@
+package member
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// State is what a table believes of a member.
+type State int
+
+const (
+	// Alive members have raised their counter recently.
+	Alive State = iota
+	// Leaving members said that they stop.
+	Leaving
+	// Failed members have not been heard of for the fail time.
+	Failed
+)
+
+// String returns the Pascal case name of the state.
+func (s State) String() string {
+	switch s {
+	case Alive:
+		return "Alive"
+	case Leaving:
+		return "Leaving"
+	default:
+		return "Failed"
+	}
+}
+
+// Info is what a member says of itself.
+type Info struct {
+	Name          string
+	Incarnation   uint64
+	Counter       uint64
+	FailureDomain string
+	CallerAddress string
+	PeerAddress   string
+	AdminAddress  string
+	Leaving       bool
+}
+
+// newerThan reports whether i supersedes other; a restarted member has a larger incarnation.
+func (i *Info) newerThan(other *Info) bool {
+	if i.Incarnation != other.Incarnation {
+		return i.Incarnation > other.Incarnation
+	}
+	return i.Counter > other.Counter
+}
+
+// Member is an Info with the table's belief.
+type Member struct {
+	Info
+	State State
+	// Heard is when the table last saw the counter rise.
+	Heard time.Time
+}
+
+// Timing holds the periods of a table.
+type Timing struct {
+	// FailAfter is how long a silent member stays alive in the view.
+	FailAfter time.Duration
+	// ForgetAfter is how long a failed or leaving member stays in the table.
+	ForgetAfter time.Duration
+}
+
+// Table is one host's view of all members; it is not safe for concurrent use.
+type Table struct {
+	self    Info
+	timing  Timing
+	members map[string]*Member
+	rng     *rand.Rand
+	seen    time.Time
+}
+
+// New returns a table that holds only self.
+func New(self Info, timing Timing, seed uint64) *Table {
+	return &Table{
+		self:    self,
+		timing:  timing,
+		members: make(map[string]*Member),
+		rng:     rand.New(rand.NewPCG(seed, self.Incarnation)),
+	}
+}
+
+// Self returns the host's own row.
+func (t *Table) Self() Info {
+	return t.self
+}
+
+// Leave marks the host itself as leaving.
+func (t *Table) Leave() {
+	t.self.Leaving = true
+	t.self.Counter++
+}
+
+// Tick raises the own counter and forgets old members.
+func (t *Table) Tick(now time.Time) {
+	t.self.Counter++
+	t.compensatePause(now)
+	for name, m := range t.members {
+		if now.Sub(m.Heard) > t.timing.ForgetAfter {
+			delete(t.members, name)
+		}
+	}
+}
+
+// compensatePause restarts the fail timers after a pause of this host: the
+// silence of others while it was stopped says nothing about them.
+func (t *Table) compensatePause(now time.Time) {
+	last := t.seen
+	t.seen = now
+	if last.IsZero() || now.Sub(last) <= t.timing.FailAfter/2 {
+		return
+	}
+	for _, m := range t.members {
+		if last.Sub(m.Heard) <= t.timing.FailAfter {
+			m.Heard = now.Add(-t.timing.FailAfter / 2)
+		}
+	}
+}
+
+// Merge takes the rows of another host's table.
+func (t *Table) Merge(now time.Time, rows []Info) {
+	for i := range rows {
+		t.mergeRow(now, &rows[i])
+	}
+}
+
+func (t *Table) mergeRow(now time.Time, row *Info) {
+	if row.Name == t.self.Name || row.Name == "" {
+		return
+	}
+	known, found := t.members[row.Name]
+	if !found {
+		t.members[row.Name] = &Member{Info: *row, Heard: now}
+		return
+	}
+	if !row.newerThan(&known.Info) {
+		return
+	}
+	known.Info = *row
+	known.Heard = now
+}
+
+// Refused records that a member's address refused a connection, which fails it at once until it is heard of again.
+func (t *Table) Refused(now time.Time, name string, incarnation uint64) {
+	m, found := t.members[name]
+	if found && m.Incarnation == incarnation {
+		m.Heard = now.Add(-t.timing.FailAfter - time.Nanosecond)
+	}
+}
+
+// Lookup returns the view of one member.
+func (t *Table) Lookup(now time.Time, name string) (Member, bool) {
+	if name == t.self.Name {
+		return t.selfMember(now), true
+	}
+	m, found := t.members[name]
+	if !found {
+		return Member{}, false
+	}
+	return t.view(now, m), true
+}
+
+func (t *Table) selfMember(now time.Time) Member {
+	own := Member{Info: t.self, Heard: now}
+	return t.view(now, &own)
+}
+
+func (t *Table) view(now time.Time, m *Member) Member {
+	seen := *m
+	switch {
+	case now.Sub(m.Heard) > t.timing.FailAfter:
+		seen.State = Failed
+	case m.Leaving:
+		seen.State = Leaving
+	default:
+		seen.State = Alive
+	}
+	return seen
+}
+
+// Members returns the view of every member, self included, by name.
+func (t *Table) Members(now time.Time) []Member {
+	all := make([]Member, 0, len(t.members)+1)
+	all = append(all, t.selfMember(now))
+	for _, m := range t.members {
+		all = append(all, t.view(now, m))
+	}
+	slices.SortFunc(all, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
+// Alive returns the members that are alive and not leaving, self included, by name.
+func (t *Table) Alive(now time.Time) []Member {
+	return slices.DeleteFunc(t.Members(now), func(m Member) bool { return m.State != Alive })
+}
+
+// Rows returns the rows to send: self and every member that has not failed, so
+// that a dead member's row cannot travel in circles.
+func (t *Table) Rows(now time.Time) []Info {
+	rows := []Info{t.self}
+	for _, m := range t.Members(now) {
+		if m.State != Failed && m.Name != t.self.Name {
+			rows = append(rows, m.Info)
+		}
+	}
+	return rows
+}
+
+// Partner returns a random other member to exchange tables with; one exchange
+// in eight goes to a failed member, so that two halves of a healed cut meet again.
+func (t *Table) Partner(now time.Time) (Member, bool) {
+	const failedOneIn = 8
+	others := slices.DeleteFunc(t.Members(now), func(m Member) bool { return m.Name == t.self.Name })
+	wantFailed := t.rng.IntN(failedOneIn) == 0
+	picked := slices.DeleteFunc(slices.Clone(others), func(m Member) bool { return (m.State == Failed) != wantFailed })
+	if len(picked) == 0 {
+		picked = others
+	}
+	if len(picked) == 0 {
+		return Member{}, false
+	}
+	return picked[t.rng.IntN(len(picked))], true
+}
--- /dev/null
+++ b/pkg/settle/home.go
@@ -0,0 +1,175 @@
+package settle
+
+import (
+	"gitlab.com/curranttiller/curranttiller/pkg/fault"
+)
+
+// Answer is the outcome of a request as it is remembered.
+type Answer struct {
+	// Verdict is Ran or MayHaveRun; a request that did not run is forgotten instead.
+	Verdict fault.Verdict
+	// Status is the HTTP status that the first submission got.
+	Status int
+	// Headers are the remembered head, in pairs of name and value.
+	Headers [][2]string
+	// Body is the whole body, unless Dropped.
+	Body []byte
+	// Dropped says that the body was too large to remember.
+	Dropped bool
+}
+
+// Action is what the home does with a submission.
+type Action int
+
+const (
+	// Run means that the submission is the first: run it, then call Finish.
+	Run Action = iota
+	// Join means that an earlier submission is running: wait for its outcome.
+	Join
+	// Replay means that the outcome is known.
+	Replay
+	// Forgotten means that the key is older than the memory: answer MayHaveRun.
+	Forgotten
+	// Foreign means that the key was drawn from another incarnation: answer MayHaveRun.
+	Foreign
+	// Full means that the memory has no room: answer NotRun.
+	Full
+	// Mismatch means that the key was used for another request: answer NotRun, for this one did not run.
+	Mismatch
+)
+
+// String returns the Pascal case name of the action.
+func (a Action) String() string {
+	return [...]string{"Run", "Join", "Replay", "Forgotten", "Foreign", "Full", "Mismatch"}[a]
+}
+
+type memory struct {
+	print  uint64
+	done   bool
+	answer Answer
+}
+
+// Limits bounds what a home remembers.
+type Limits struct {
+	// Keys is the largest number of keys remembered.
+	Keys int
+	// Bytes is the largest total of remembered bodies.
+	Bytes int
+}
+
+// Home holds the outcomes of the keys drawn from one incarnation; it is not safe for concurrent use.
+type Home struct {
+	token  Token
+	limits Limits
+	floor  uint64
+	bytes  int
+	// eras holds the keys by the counter at which they were drawn, so that
+	// whole eras can be forgotten.
+	eras map[uint64]map[string]*memory
+	keys int
+}
+
+// New returns an empty home for one incarnation.
+func New(host string, incarnation uint64, limits Limits) *Home {
+	return &Home{
+		token:  Token{Host: host, Incarnation: incarnation},
+		limits: limits,
+		eras:   make(map[uint64]map[string]*memory),
+	}
+}
+
+// Advance sets the current counter and forgets the outcomes of keys drawn more than keep counters ago.
+// An era with a request that still runs is kept whole, but the floor rises all the same.
+func (h *Home) Advance(counter, keep uint64) {
+	h.token.Counter = max(h.token.Counter, counter)
+	if counter > keep {
+		h.floor = max(h.floor, counter-keep)
+	}
+	for era, keys := range h.eras {
+		if era < h.floor {
+			h.forgetEra(era, keys)
+		}
+	}
+}
+
+func (h *Home) forgetEra(era uint64, keys map[string]*memory) {
+	for unique, m := range keys {
+		if m.done {
+			h.bytes -= len(m.answer.Body)
+			h.keys--
+			delete(keys, unique)
+		}
+	}
+	if len(keys) == 0 {
+		delete(h.eras, era)
+	}
+}
+
+// Submit decides about one submission of a key; print is a fingerprint of the request.
+func (h *Home) Submit(key Key, print uint64) (Action, Answer) {
+	if key.Host != h.token.Host || key.Incarnation != h.token.Incarnation {
+		return Foreign, Answer{}
+	}
+	if m, found := h.eras[key.Counter][key.Unique]; found {
+		return h.again(m, print)
+	}
+	if key.Counter < h.floor {
+		return Forgotten, Answer{}
+	}
+	// A counter from the future was not drawn from this home. It is refused
+	// because an era above the current one could be forgotten too late.
+	if key.Counter > h.token.Counter {
+		return Foreign, Answer{}
+	}
+	if h.keys >= h.limits.Keys {
+		return Full, Answer{}
+	}
+	h.remember(key, print)
+	return Run, Answer{}
+}
+
+func (h *Home) again(m *memory, print uint64) (Action, Answer) {
+	if m.print != print {
+		return Mismatch, Answer{}
+	}
+	if m.done {
+		return Replay, m.answer
+	}
+	return Join, Answer{}
+}
+
+func (h *Home) remember(key Key, print uint64) {
+	era, found := h.eras[key.Counter]
+	if !found {
+		era = make(map[string]*memory)
+		h.eras[key.Counter] = era
+	}
+	era[key.Unique] = &memory{print: print}
+	h.keys++
+}
+
+// Finish records the outcome of a key for which Submit returned Run. A NotRun
+// outcome removes the key, so that the next submission may run.
+func (h *Home) Finish(key Key, answer Answer) {
+	m, found := h.eras[key.Counter][key.Unique]
+	if !found || m.done {
+		return
+	}
+	if answer.Verdict == fault.NotRun {
+		delete(h.eras[key.Counter], key.Unique)
+		h.keys--
+		return
+	}
+	if h.bytes+len(answer.Body) > h.limits.Bytes {
+		answer.Body = nil
+		answer.Dropped = true
+	}
+	m.done = true
+	m.answer = answer
+	h.bytes += len(answer.Body)
+}
+
+// Keys returns the number of keys remembered.
+func (h *Home) Keys() int {
+	return h.keys
+}
--- /dev/null
+++ b/pkg/steer/steer.go
@@ -0,0 +1,89 @@
+package steer
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Host is an entry host as steering sees it.
+type Host struct {
+	Name          string
+	FailureDomain string
+}
+
+// Target is a target as steering sees it.
+type Target struct {
+	Name          string
+	FailureDomain string
+}
+
+func score(service, name string) uint64 {
+	return xxhash.Sum64String(service + "\x00" + name)
+}
+
+// Ranked returns the hosts in the order of their rendezvous score for a service.
+func Ranked(service string, hosts []Host) []Host {
+	ranked := slices.Clone(hosts)
+	slices.SortFunc(ranked, func(a, b Host) int {
+		return cmp.Or(cmp.Compare(score(service, b.Name), score(service, a.Name)), cmp.Compare(a.Name, b.Name))
+	})
+	return ranked
+}
+
+// Holders returns up to count hosts for a service, in as many failure domains as possible; a count of zero returns all.
+func Holders(service string, hosts []Host, count int) []Host {
+	ranked := Ranked(service, hosts)
+	if count <= 0 || count >= len(ranked) {
+		return ranked
+	}
+	var first, later []Host
+	used := make(map[string]int)
+	for _, h := range ranked {
+		if used[h.FailureDomain] == 0 {
+			first = append(first, h)
+		} else {
+			later = append(later, h)
+		}
+		used[h.FailureDomain]++
+	}
+	return append(first, later...)[:count]
+}
+
+// Held returns the targets that one of the holders holds. Targets are dealt to
+// holders in turn, after a stable sort, so that the shares differ by one at most.
+func Held(service string, targets []Target, holders []Host, self string) []Target {
+	place := slices.IndexFunc(holders, func(h Host) bool { return h.Name == self })
+	if place < 0 || len(holders) == 1 {
+		return targets
+	}
+	sorted := slices.Clone(targets)
+	slices.SortFunc(sorted, func(a, b Target) int {
+		return cmp.Or(cmp.Compare(a.FailureDomain, b.FailureDomain),
+			cmp.Compare(score(service, a.Name), score(service, b.Name)), cmp.Compare(a.Name, b.Name))
+	})
+	var held []Target
+	for i, t := range sorted {
+		if i%len(holders) == place {
+			held = append(held, t)
+		}
+	}
+	return held
+}
+
+// Nearest returns the hosts with those of a failure domain first.
+func Nearest(hosts []Host, failureDomain string) []Host {
+	sorted := slices.Clone(hosts)
+	slices.SortStableFunc(sorted, func(a, b Host) int {
+		return cmp.Compare(distance(a, failureDomain), distance(b, failureDomain))
+	})
+	return sorted
+}
+
+func distance(h Host, failureDomain string) int {
+	if h.FailureDomain == failureDomain {
+		return 0
+	}
+	return 1
+}
