--- /dev/null
+++ b/pkg/choose/pool_test.go
@@ -0,0 +1,214 @@
+package choose_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gitlab.com/curranttiller/curranttiller/pkg/choose"
+	"gitlab.com/curranttiller/curranttiller/pkg/spec"
+)
+
+var start = time.Unix(1000, 0)
+
+func settings() choose.Settings {
+	return choose.Settings{
+		Policy: spec.PolicyHeld, Slots: 2, QueueWaitAtMost: time.Second, AttemptsAtMost: 3,
+		ExtraAttemptShare: 0.5, HedgeQuantile: 0.95, BusyShare: 0.9, QuietAfter: 2 * time.Second, FailureDomain: "d1",
+	}
+}
+
+func newPool(targets int) *choose.Pool {
+	p := choose.New(settings(), 1, start)
+	all := make([]choose.Target, targets)
+	for i := range all {
+		all[i] = choose.Target{Name: fmt.Sprintf("t%d", i+1), FailureDomain: "d1"}
+	}
+	p.SetTargets(start, all)
+	return p
+}
+
+func read(id uint64) choose.Request {
+	return choose.Request{ID: id, Idempotent: true, Deadline: start.Add(time.Minute)}
+}
+
+// warm lets the pool learn a service time of 10 ms.
+func warm(p *choose.Pool, now time.Time) time.Time {
+	for id := uint64(10_000); id < 10_300; id++ {
+		a := p.Arrive(now, read(id))
+		now = now.Add(10 * time.Millisecond)
+		p.Finish(now, id, a.Grants[0].Attempt, choose.Outcome{Kind: choose.Answered, Latency: 10 * time.Millisecond})
+		p.Release(now, id)
+	}
+	return now
+}
+
+func TestRequestsWaitForAFreeSlot(t *testing.T) {
+	is := is.New(t)
+	p := newPool(2)
+	for id := uint64(1); id <= 4; id++ {
+		is.Equal(len(p.Arrive(start, read(id)).Grants), 1)
+	}
+	is.Equal(len(p.Arrive(start, read(5)).Grants), 0)
+	is.Equal(p.Waiting(), 1)
+	a := p.Finish(start.Add(time.Millisecond), 1, 1, choose.Outcome{Kind: choose.Answered, Latency: time.Millisecond})
+	is.Equal(len(a.Grants), 1)
+	is.Equal(a.Grants[0].Request, uint64(5))
+}
+
+func TestOverloadIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	p := newPool(1)
+	now := warm(p, start)
+	refused := ""
+	for id := uint64(1); id < 1000 && refused == ""; id++ {
+		for _, r := range p.Arrive(now, choose.Request{ID: id, Deadline: now.Add(200 * time.Millisecond)}).Refusals {
+			refused = r.Reason
+		}
+	}
+	is.Equal(refused, choose.ReasonQueueFull)
+	is.True(p.Waiting() < 50) // 190 ms at two slots of 10 ms, with room to spare
+}
+
+func TestEjection(t *testing.T) {
+	tests := []struct {
+		name    string
+		outcome choose.Outcome
+		want    bool
+	}{
+		{"errors in a row", choose.Outcome{Kind: choose.Errored, Latency: time.Millisecond}, true},
+		{"ten times slower", choose.Outcome{Kind: choose.Answered, Latency: 100 * time.Millisecond}, true},
+		{"four times slower", choose.Outcome{Kind: choose.Answered, Latency: 40 * time.Millisecond}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPool(3)
+			now := warm(p, start)
+			hits := 0
+			for id := uint64(1); id <= 800; id++ {
+				a := p.Arrive(now, read(id))
+				now = now.Add(time.Millisecond)
+				outcome := choose.Outcome{Kind: choose.Answered, Latency: 10 * time.Millisecond}
+				if a.Grants[0].Target == "t1" {
+					hits++
+					outcome = tt.outcome
+				}
+				p.Finish(now, id, 1, outcome)
+				p.Release(now, id)
+			}
+			is.Equal(p.Views(now)[0].Ejected, tt.want)
+			if tt.want {
+				is.Equal(hits, 3)
+			}
+		})
+	}
+}
+
+func TestLastTargetIsNeverEjected(t *testing.T) {
+	is := is.New(t)
+	p := newPool(1)
+	for id := uint64(1); id <= 20; id++ {
+		a := p.Arrive(start, read(id))
+		is.Equal(len(a.Grants), 1)
+		p.Finish(start, id, 1, choose.Outcome{Kind: choose.Errored})
+		p.Release(start, id)
+	}
+}
+
+func TestDrainingTargetGetsNoNewWork(t *testing.T) {
+	is := is.New(t)
+	p := newPool(2)
+	p.Arrive(start, read(1))
+	p.Finish(start, 1, 1, choose.Outcome{Kind: choose.Answered, Report: &choose.Report{Draining: true}})
+	p.Release(start, 1)
+	draining := ""
+	for _, v := range p.Views(start) {
+		if v.Draining {
+			draining = v.Name
+		}
+	}
+	for id := uint64(2); id < 4; id++ {
+		is.True(p.Arrive(start, read(id)).Grants[0].Target != draining)
+	}
+}
+
+func TestColdTargetRampsUp(t *testing.T) {
+	is := is.New(t)
+	p := newPool(1)
+	p.SetTargets(start, []choose.Target{{Name: "t1", Leaving: true}, {Name: "cold"}})
+	is.Equal(len(p.Arrive(start, read(1)).Grants), 1)
+	is.Equal(len(p.Arrive(start, read(2)).Grants), 0) // one at a time until it has answered
+	a := p.Finish(start, 1, 1, choose.Outcome{Kind: choose.Answered})
+	is.Equal(len(a.Grants), 1)
+	is.Equal(len(p.Arrive(start, read(3)).Grants), 1)
+}
+
+func TestExtraAttemptsKeepTheirBudget(t *testing.T) {
+	is := is.New(t)
+	s := settings()
+	s.ExtraAttemptShare = 0.06
+	p := choose.New(s, 1, start)
+	p.SetTargets(start, []choose.Target{{Name: "t1"}, {Name: "t2"}, {Name: "t3"}, {Name: "t4"}})
+	extra := 0
+	const requests = 5000
+	for id := uint64(1); id <= requests; id++ {
+		p.Arrive(start, read(id))
+		grants := p.Hedge(start, id).Grants
+		extra += len(grants)
+		for attempt := 1; attempt <= 1+len(grants); attempt++ {
+			p.Finish(start, id, attempt, choose.Outcome{Kind: choose.Answered, Latency: time.Millisecond})
+		}
+		p.Release(start, id)
+	}
+	is.True(extra <= requests*6/100)
+	is.True(extra > 0)
+}
+
+func TestLyingReportsDoNotHideOwnRequests(t *testing.T) {
+	is := is.New(t)
+	p := newPool(2)
+	zero := &choose.Report{}
+	for id := uint64(1); id <= 4; id++ {
+		p.Arrive(start, read(id))
+	}
+	p.Probed(start, "t1", zero)
+	p.Probed(start, "t2", zero)
+	is.Equal(len(p.Arrive(start, read(5)).Grants), 0)
+}
+
+func TestForeignLoadTakesSlots(t *testing.T) {
+	is := is.New(t)
+	p := newPool(1)
+	busy := &choose.Report{Running: 2}
+	for range 8 {
+		p.Probed(start, "t1", busy)
+	}
+	is.Equal(len(p.Arrive(start, read(1)).Grants), 1) // one request always gets through
+	is.Equal(len(p.Arrive(start, read(2)).Grants), 0)
+	is.Equal(len(p.Tick(start.Add(time.Second)).Grants), 1) // old reports do not count
+}
+
+func TestNonIdempotentRequestIsNotSentToATargetOnTrial(t *testing.T) {
+	is := is.New(t)
+	p := newPool(3)
+	now := warm(p, start)
+	for p.Views(now)[0].Ejected == false {
+		id := uint64(now.UnixNano())
+		a := p.Arrive(now, read(id))
+		outcome := choose.Outcome{Kind: choose.Answered, Latency: 10 * time.Millisecond}
+		if a.Grants[0].Target == "t1" {
+			outcome.Kind = choose.Errored
+		}
+		now = now.Add(time.Millisecond)
+		p.Finish(now, id, 1, outcome)
+		p.Release(now, id)
+	}
+	now = now.Add(2 * time.Second) // the time out of use is over
+	for id := uint64(1); id <= 4; id++ {
+		a := p.Arrive(now, choose.Request{ID: id, Deadline: now.Add(time.Second)})
+		is.True(a.Grants[0].Target != "t1")
+	}
+}
--- a/pkg/ledger/restate.go
+++ b/pkg/ledger/restate.go
@@ -68,6 +68,10 @@
 		}
 	}
 	s.texts = inForce
+	// The index waits until the texts were read back, so that it covers them.
+	if len(due) > 0 {
+		return due
+	}
 	if now.Sub(s.indexTime) > wait && reader.Through() > 0 {
 		claim := reader.Claim()
 		due = append(due, Record{Kind: KindIndex, Through: claim.Through, InForce: claim.InForce})
--- /dev/null
+++ b/pkg/steer/steer_test.go
@@ -0,0 +1,68 @@
+package steer_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"gitlab.com/curranttiller/curranttiller/pkg/steer"
+)
+
+func hosts(count int) []steer.Host {
+	all := make([]steer.Host, count)
+	for i := range all {
+		all[i] = steer.Host{Name: fmt.Sprintf("entry%d", i), FailureDomain: fmt.Sprintf("d%d", i%3)}
+	}
+	return all
+}
+
+// TestLossOfOneHostMovesOnlyItsServices bounds the move to the lost host's own share.
+func TestLossOfOneHostMovesOnlyItsServices(t *testing.T) {
+	is := is.New(t)
+	const services = 130
+	all := hosts(19)
+	moved, lost := 0, 0
+	for i := range services {
+		name := fmt.Sprintf("service%d", i)
+		before := steer.Holders(name, all, 1)[0]
+		after := steer.Holders(name, all[1:], 1)[0]
+		if before.Name == all[0].Name {
+			lost++
+		}
+		if before != after {
+			moved++
+		}
+	}
+	is.Equal(moved, lost)
+	is.True(moved <= 3*services/19) // a hash is not even, but not far off
+}
+
+func TestHoldersStandInDifferentDomains(t *testing.T) {
+	is := is.New(t)
+	for i := range 50 {
+		holders := steer.Holders(fmt.Sprint(i), hosts(13), 3)
+		is.Equal(len(holders), 3)
+		is.True(holders[0].FailureDomain != holders[1].FailureDomain)
+		is.True(holders[1].FailureDomain != holders[2].FailureDomain)
+		is.True(holders[0].FailureDomain != holders[2].FailureDomain)
+	}
+}
+
+func TestHeldDealsEveryTargetOnce(t *testing.T) {
+	is := is.New(t)
+	targets := make([]steer.Target, 15)
+	for i := range targets {
+		targets[i] = steer.Target{Name: fmt.Sprintf("t%d", i), FailureDomain: fmt.Sprintf("d%d", i%3)}
+	}
+	holders := steer.Holders("reservas", hosts(13), 2)
+	seen := make(map[string]int)
+	for _, h := range holders {
+		held := steer.Held("reservas", targets, holders, h.Name)
+		is.True(len(held) == 7 || len(held) == 8)
+		for _, target := range held {
+			seen[target.Name]++
+		}
+	}
+	is.Equal(len(seen), len(targets))
+}
