--- a/internal/cmds/publish.go
+++ b/internal/cmds/publish.go
@@ -130,6 +130,10 @@
 			claim.InForce = append(claim.InForce, ledger.Version{Service: known.Service, Version: known.Version})
 		}
 		reader.Learn(claim)
+		for _, known := range answer.Known {
+			version := ledger.Version{Service: known.Service, Version: known.Version}
+			reader.AddText(ledger.Document{Version: version, Text: known.Text, Author: known.Author})
+		}
 	}
 }
 
--- a/internal/entry/documents.go
+++ b/internal/entry/documents.go
@@ -19,9 +19,10 @@
 	logRetryDelay    = 200 * time.Millisecond
 	documentsTimeout = 500 * time.Millisecond
 	// peersSuffice is how long a fresh host waits for the log before it serves what its peers say.
-	peersSuffice    = time.Second
-	outcomesKept    = 256
-	restateInterval = time.Second
+	peersSuffice = time.Second
+	outcomesKept = 256
+	// retentionParts is how many times in a retention a host looks for what it has to restate.
+	retentionParts = 32
 )
 
 // runDocuments follows the log. Only this goroutine appends restatements, and
@@ -29,6 +30,7 @@
 func (d *Daemon) runDocuments() {
 	d.learnFromSeeds()
 	wait := time.Duration(0)
+	longPoll := min(logReadWait, d.settings.LogRetention/retentionParts)
 	var restated time.Time
 	for d.ctx.Err() == nil {
 		caughtUp, err := d.readLog(wait)
@@ -36,8 +38,8 @@
 			d.logFailed(err)
 			continue
 		}
-		wait = logReadWait
-		if caughtUp && time.Since(restated) > restateInterval {
+		wait = longPoll
+		if caughtUp && time.Since(restated) > longPoll/2 {
 			restated = time.Now()
 			d.restate()
 		}
@@ -220,8 +222,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.noteOutcomes(d.reader.Learn(reply.Claim))
-	for v, text := range reply.Texts {
-		d.reader.AddText(v, text)
+	for _, known := range reply.Texts {
+		d.reader.AddText(known)
 	}
 	d.refreshDocuments()
 	return true
@@ -242,10 +244,10 @@
 func (d *Daemon) Documents(known map[ledger.Version]bool) peer.Documents {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	reply := peer.Documents{Claim: d.reader.Claim(), Current: d.ready, Texts: make(map[ledger.Version]string)}
+	reply := peer.Documents{Claim: d.reader.Claim(), Current: d.ready, Texts: make(map[ledger.Version]ledger.Document)}
 	for _, held := range d.reader.Documents() {
 		if !known[held.Version] {
-			reply.Texts[held.Version] = held.Text
+			reply.Texts[held.Version] = held
 		}
 	}
 	return reply
@@ -260,7 +262,9 @@
 	d.mu.Unlock()
 	for i := range due {
 		due[i].ID = rand.Text()
-		due[i].Author = d.settings.Name
+		if due[i].Kind == ledger.KindIndex {
+			due[i].Author = d.settings.Name
+		}
 		encoded, err := due[i].Encode()
 		if err != nil {
 			continue
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -28,7 +28,7 @@
 	if !found || home.Incarnation > key.Incarnation {
 		return fault.New(fault.MayHaveRun, http.StatusBadGateway, "HomeGone")
 	}
-	err := d.forward(ctx, home.PeerAddress, request, w)
+	err := d.forwardKeyed(ctx, home.PeerAddress, request, w)
 	if isUnsent(err) {
 		// This submission did not run, but an earlier one may have.
 		return fault.Wrap(err, fault.MayHaveRun, http.StatusBadGateway, "HomeUnreachable")
@@ -36,6 +36,22 @@
 	return err
 }
 
+// forwardKeyed passes a request to its home, and once more if the connection to
+// it was lost: the home joins the submissions, so that this is no second run.
+func (d *Daemon) forwardKeyed(ctx context.Context, address string, request *route.Request, w http.ResponseWriter) error {
+	body, err := newReplayBody(request)
+	if err != nil {
+		return fault.Wrap(err, fault.NotRun, http.StatusBadRequest, "BodyUnreadable")
+	}
+	request.Body = body.reader()
+	err = d.forward(ctx, address, request, w)
+	if ctx.Err() != nil || !isUnanswered(err) || !body.isReplayable() {
+		return err
+	}
+	request.Body = body.reader()
+	return d.forward(ctx, address, request, w)
+}
+
 // fingerprint tells requests with the same key apart.
 func fingerprint(request *route.Request) uint64 {
 	return xxhash.Sum64String(request.Service + "\x00" + request.Method + "\x00" + request.URI)
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -23,8 +23,8 @@
 	answerKeptBytes = 256 << 10
 	// rescueLeast is the shortest wait for a first byte before a connection counts as silent.
 	rescueLeast = 250 * time.Millisecond
-	// rescueHedges is that wait in hedge delays.
-	rescueHedges = 8
+	// rescueTypical is that wait in typical latencies of the service.
+	rescueTypical = 20
 )
 
 // run is one request at this host, from its arrival at the pool to its answer.
@@ -190,7 +190,7 @@
 	if grant.HedgeAfter > 0 {
 		hedge.Reset(grant.HedgeAfter)
 	}
-	if r.request.IsIdempotent() && !r.rescued {
+	if !r.rescued {
 		rescue.Reset(r.rescueAfter(grant))
 	}
 	client, address := r.service.transport(grant.Target)
@@ -203,7 +203,7 @@
 }
 
 func (r *run) rescueAfter(grant choose.Grant) time.Duration {
-	late := max(rescueLeast, rescueHedges*grant.HedgeAfter)
+	late := max(rescueLeast, rescueTypical*grant.Typical)
 	return min(late, time.Until(r.request.Deadline)/2)
 }
 
@@ -318,16 +318,14 @@
 	return nil
 }
 
-// rescue tries a read on a new connection, because the first byte is so late
-// that something may have lost track of the connection.
+// rescue acts on an answer so late that something may have lost track of the
+// connection: idle connections are dropped, the slot is given to others, and a
+// read is tried on a new connection. Other requests can only go on waiting.
 func (r *run) rescue() {
-	if r.rescued || !r.body.isReplayable() {
-		return
-	}
 	r.rescued = true
-	for _, a := range r.attempts {
-		client, _ := r.service.transport(a.grant.Target)
-		client.DropIdle()
+	r.service.doubt(r.id)
+	if !r.request.IsIdempotent() || !r.body.isReplayable() {
+		return
 	}
 	if r.service.retry(r.id, true) {
 		r.service.metrics.rescues.Inc()
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -15,6 +15,13 @@
 	"gitlab.com/curranttiller/curranttiller/pkg/spec"
 )
 
+const (
+	// forwardSuspect is how long a forwarded request may go unanswered before its connection is tested.
+	forwardSuspect = 500 * time.Millisecond
+	// forwardTest is how long the test may take.
+	forwardTest = 500 * time.Millisecond
+)
+
 // Serve answers one request of a caller or of another entry host. It returns
 // route.ErrCut if the answer broke off after its head, and nil otherwise.
 func (d *Daemon) Serve(ctx context.Context, request *route.Request, w http.ResponseWriter) error {
@@ -80,15 +87,32 @@
 	if err != nil {
 		return err
 	}
-	if address := d.holderElsewhere(s); address != "" && !request.Forwarded {
-		err := d.forward(ctx, address, request, w)
-		if !isUnsent(err) {
-			return err
-		}
+	address := d.holderElsewhere(s)
+	if address == "" || request.Forwarded {
+		return s.run(ctx, request, w)
+	}
+	body, err := newReplayBody(request)
+	if err != nil {
+		return fault.Wrap(err, fault.NotRun, http.StatusBadRequest, "BodyUnreadable")
+	}
+	request.Body = body.reader()
+	err = d.forward(ctx, address, request, w)
+	if !isUnsent(err) && (!request.IsIdempotent() || !isUnanswered(err)) {
+		return err
 	}
+	if !body.isReplayable() {
+		return err
+	}
+	request.Body = body.reader()
 	return s.run(ctx, request, w)
 }
 
+// isUnanswered reports whether a forwarded request failed before any part of an answer.
+func isUnanswered(err error) bool {
+	var failed *fault.Error
+	return errors.As(err, &failed)
+}
+
 // isUnsent reports whether a forwarded request certainly did not leave this host.
 func isUnsent(err error) bool {
 	var failed *fault.Error
@@ -110,8 +134,23 @@
 	return ""
 }
 
+// forward passes a request on. If the answer is late, the connection is tested,
+// because something between the hosts may have lost track of it.
 func (d *Daemon) forward(ctx context.Context, address string, request *route.Request, w http.ResponseWriter) error {
 	d.counters.forwards.Inc()
+	watch := time.AfterFunc(forwardSuspect, func() { d.testConnection(address) })
+	defer watch.Stop()
 	d.events.Add(event.Event{Kind: "RequestForwarded", Service: request.Service, Request: request.ID, Cause: "to " + address})
 	return d.peers.Forward(ctx, address, request, w)
 }
+
+// testConnection drops the connection to a host that does not answer a heartbeat on it.
+func (d *Daemon) testConnection(address string) {
+	ctx, cancel := context.WithTimeout(d.ctx, forwardTest)
+	defer cancel()
+	own := d.heartbeat(time.Now())
+	if _, err := d.peers.Heartbeat(ctx, address, &own); err != nil {
+		d.peerLog.Warn("connection to an entry host is silent; dropping it", "Peer", address)
+		d.peers.Drop(address)
+	}
+}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -183,6 +183,14 @@
 	return allowed
 }
 
+// doubt frees the slots of a late request and drops the idle connections, which may be silent too.
+func (s *service) doubt(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.client.DropIdle()
+	s.deliver(s.pool.Doubt(time.Now(), id))
+}
+
 func (s *service) hedge(id uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -51,6 +51,16 @@
 	}
 }
 
+// Drop closes the connection to an address, whose life is in doubt; calls on it fail.
+func (p *Pool) Drop(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if conn, found := p.conns[address]; found {
+		_ = conn.Close()
+		delete(p.conns, address)
+	}
+}
+
 // Keep closes the connections to addresses that keep does not hold.
 func (p *Pool) Keep(keep map[string]bool) {
 	p.mu.Lock()
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -37,7 +37,7 @@
 type Documents struct {
 	Claim   ledger.Claim
 	Current bool
-	Texts   map[ledger.Version]string
+	Texts   map[ledger.Version]ledger.Document
 }
 
 func heartbeatToWire(h *Heartbeat) *peerpb.HeartbeatMessage {
@@ -101,22 +101,22 @@
 	}
 }
 
-func versionsToWire(versions []ledger.Version, texts map[ledger.Version]string) []*peerpb.DocumentVersion {
+func versionsToWire(versions []ledger.Version, texts map[ledger.Version]ledger.Document) []*peerpb.DocumentVersion {
 	wire := make([]*peerpb.DocumentVersion, 0, len(versions))
 	for _, v := range versions {
-		wire = append(wire, &peerpb.DocumentVersion{Service: v.Service, Version: v.Version, Text: []byte(texts[v])})
+		wire = append(wire, &peerpb.DocumentVersion{Service: v.Service, Version: v.Version, Text: []byte(texts[v].Text), Author: texts[v].Author})
 	}
 	return wire
 }
 
 func documentsFromWire(r *peerpb.DocumentsReply) Documents {
-	d := Documents{Current: r.GetCurrent(), Texts: make(map[ledger.Version]string)}
+	d := Documents{Current: r.GetCurrent(), Texts: make(map[ledger.Version]ledger.Document)}
 	d.Claim.Through = r.GetThrough()
 	for _, wire := range r.GetInForce() {
 		v := ledger.Version{Service: wire.GetService(), Version: wire.GetVersion()}
 		d.Claim.InForce = append(d.Claim.InForce, v)
 		if len(wire.GetText()) > 0 {
-			d.Texts[v] = string(wire.GetText())
+			d.Texts[v] = ledger.Document{Version: v, Text: string(wire.GetText()), Author: wire.GetAuthor()}
 		}
 	}
 	return d
--- a/internal/stand/fleet/process.go
+++ b/internal/stand/fleet/process.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -106,23 +108,30 @@
 	return p.cmd.Process.Pid
 }
 
-// FreeAddresses returns loopback addresses that nothing listens on.
+// lastFleet numbers the loopback addresses given out by this process.
+var lastFleet atomic.Uint32
+
+// FreeAddresses returns addresses that nothing listens on. Every call gets a
+// loopback IP number of its own, because a port that is only free for the moment
+// could be taken by an outgoing connection before it is used.
 func FreeAddresses(count int) ([]string, error) {
+	const firstPort = 10000
+	number := lastFleet.Add(1)
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+pid%250, 1+pid/250%250, 1+number%250)
 	addresses := make([]string, 0, count)
-	listeners := make([]net.Listener, 0, count)
-	defer func() {
-		for _, l := range listeners {
-			_ = l.Close()
-		}
-	}()
 	var config net.ListenConfig
-	for range count {
-		l, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
-		if err != nil {
+	for port := firstPort; len(addresses) < count; port++ {
+		address := fmt.Sprintf("%s:%d", ip, port)
+		l, err := config.Listen(context.Background(), "tcp", address)
+		if err != nil && port > firstPort+10*count {
 			return nil, eris.Wrap(err, "looking for a free port")
 		}
-		listeners = append(listeners, l)
-		addresses = append(addresses, l.Addr().String())
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		addresses = append(addresses, address)
 	}
 	return addresses, nil
 }
--- a/internal/stand/load/run.go
+++ b/internal/stand/load/run.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -32,6 +33,7 @@
 	IsRead    bool
 	At        time.Duration
 	Latency   time.Duration
+	Ended     time.Duration
 	Status    int
 	Verdict   fault.Verdict
 	// IsWrong says that the answer was not the caller's own or not whole.
@@ -69,8 +71,45 @@
 	Late time.Duration
 }
 
+// Session is a run in progress; it is safe for concurrent use.
+type Session struct {
+	done   chan struct{}
+	ended  atomic.Int64
+	result *Result
+}
+
+// Start begins to send the requests of a plan.
+func Start(ctx context.Context, client *caller.Client, plan *Plan, start time.Time) *Session {
+	s := &Session{done: make(chan struct{})}
+	go func() {
+		s.result = s.run(ctx, client, plan, start)
+		close(s.done)
+	}()
+	return s
+}
+
+// Ended returns the number of requests whose outcome is known.
+func (s *Session) Ended() int {
+	return int(s.ended.Load())
+}
+
+// Done is closed when every request has its outcome.
+func (s *Session) Done() <-chan struct{} {
+	return s.done
+}
+
+// Wait returns the result when every request has its outcome.
+func (s *Session) Wait() *Result {
+	<-s.done
+	return s.result
+}
+
 // Run sends the requests of a plan at their times, whatever became of earlier ones.
 func Run(ctx context.Context, client *caller.Client, plan *Plan, start time.Time) *Result {
+	return Start(ctx, client, plan, start).Wait()
+}
+
+func (s *Session) run(ctx context.Context, client *caller.Client, plan *Plan, start time.Time) *Result {
 	arrivals := plan.Arrivals()
 	result := &Result{Plan: *plan, Outcomes: make([]Outcome, len(arrivals))}
 	var sending sync.WaitGroup
@@ -83,7 +122,10 @@
 			break
 		}
 		result.Late = max(result.Late, time.Since(start.Add(a.At)))
-		sending.Go(func() { result.Outcomes[i] = send(ctx, client, plan, a, i, start) })
+		sending.Go(func() {
+			result.Outcomes[i] = send(ctx, client, plan, a, i, start)
+			s.ended.Add(1)
+		})
 	}
 	sending.Wait()
 	return result
@@ -109,6 +151,7 @@
 	defer cancel()
 	response, err := client.Do(ctx, request)
 	outcome := Outcome{Operation: operation, IsRead: a.IsRead, At: a.At, Latency: time.Since(due)}
+	outcome.Ended = a.At + outcome.Latency
 	if err != nil {
 		outcome.Verdict = fault.VerdictOf(err)
 		outcome.Reason = reasonOf(err)
--- a/internal/stand/tamper/proxy.go
+++ b/internal/stand/tamper/proxy.go
@@ -14,6 +14,8 @@
 	headTimeout = 5 * time.Second
 	bufferBytes = 32 << 10
 	dialTimeout = 2 * time.Second
+	// reopenPeriod is how often a refused destination is tried again.
+	reopenPeriod = 20 * time.Millisecond
 )
 
 // Action is a fault of a route.
@@ -46,6 +48,7 @@
 	mu     sync.Mutex
 	action Action
 	pairs  map[*pair]bool
+	closed bool
 }
 
 // pair is a connection and its continuation.
@@ -73,7 +76,6 @@
 func (p *Proxy) Close() {
 	p.mu.Lock()
 	for _, r := range p.routes {
-		_ = r.listener.Close()
 		r.closeAll()
 	}
 	p.mu.Unlock()
@@ -129,6 +131,8 @@
 func (r *route) closeAll() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.closed = true
+	_ = r.listener.Close()
 	for open := range r.pairs {
 		_ = open.near.Close()
 		_ = open.far.Close()
@@ -151,27 +155,70 @@
 	_ = o.far.Close()
 }
 
+// accept takes connections while the destination does. A destination that
+// refuses connections makes the route refuse them too, as without a proxy.
 func (p *Proxy) accept(r *route) {
 	for {
 		near, err := r.listener.Accept()
-		if err != nil {
+		if err != nil && !r.reopen() {
 			return
 		}
+		if err != nil {
+			continue
+		}
 		if r.current().Cut {
 			_ = near.Close()
 			continue
 		}
-		p.done.Go(func() { r.carry(near) })
+		far, err := dial(r.destination)
+		if err != nil {
+			_ = near.Close()
+			_ = r.listener.Close()
+			continue
+		}
+		p.done.Go(func() { r.carry(near, far) })
 	}
 }
 
-func (r *route) carry(near net.Conn) {
+func dial(address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	far, err := dialer.DialContext(context.Background(), "tcp", r.destination)
-	if err != nil {
-		_ = near.Close()
-		return
+	return dialer.DialContext(context.Background(), "tcp", address)
+}
+
+// reopen waits until the destination accepts connections and listens again; false means that the proxy is closed.
+func (r *route) reopen() bool {
+	var config net.ListenConfig
+	for {
+		r.mu.Lock()
+		isClosed := r.closed
+		r.mu.Unlock()
+		if isClosed {
+			return false
+		}
+		if probe, err := dial(r.destination); err == nil {
+			_ = probe.Close()
+			listener, err := config.Listen(context.Background(), "tcp", r.listener.Addr().String())
+			if err == nil {
+				return r.replace(listener)
+			}
+		}
+		time.Sleep(reopenPeriod)
+	}
+}
+
+// replace puts a new listener in place, unless the proxy was closed meanwhile.
+func (r *route) replace(listener net.Listener) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		_ = listener.Close()
+		return false
 	}
+	r.listener = listener
+	return true
+}
+
+func (r *route) carry(near, far net.Conn) {
 	o := &pair{near: near, far: far, silent: make(chan struct{})}
 	r.mu.Lock()
 	r.pairs[o] = true
--- a/pkg/budget/share.go
+++ b/pkg/budget/share.go
@@ -69,7 +69,12 @@
 
 // Spend takes one unit of extra work and reports whether it is allowed.
 func (r *Ratio) Spend() bool {
-	if r.saved < 1 {
+	return r.SpendAbove(0)
+}
+
+// SpendAbove is Spend for work that must leave a reserve to more urgent work.
+func (r *Ratio) SpendAbove(reserve float64) bool {
+	if r.saved < 1+reserve {
 		return false
 	}
 	r.saved--
--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -11,12 +11,14 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"gitlab.com/curranttiller/curranttiller/pkg/budget"
 	"gitlab.com/curranttiller/curranttiller/pkg/fault"
 	"gitlab.com/curranttiller/curranttiller/pkg/header"
 )
@@ -29,6 +31,14 @@
 	idleConns        = 512
 	idleTimeout      = 5 * time.Second
 	maxAnswerBytes   = 64 << 20
+	// lateParts and lateLeast say when an answer is late enough for a second submission.
+	lateParts = 3
+	lateLeast = 300 * time.Millisecond
+	// doubleShare and doubleBurst bound the second submissions of reads.
+	doubleShare = 0.1
+	doubleBurst = 100
+	// suspectFor is how long a host that failed is avoided.
+	suspectFor = 2 * time.Second
 )
 
 // Settings configure a client.
@@ -75,10 +85,15 @@
 type Client struct {
 	settings Settings
 	http     *http.Client
+	// fresh uses a new connection for every request.
+	fresh *http.Client
 
 	mu      sync.Mutex
 	rng     *rand.Rand
 	answers map[string]*held
+	doubles *budget.Ratio
+	// suspects are the caller addresses of hosts that failed lately, and until when they are avoided.
+	suspects map[string]time.Time
 }
 
 // held is a directory answer and until when it may be used.
@@ -99,8 +114,11 @@
 	return &Client{
 		settings: settings,
 		http:     &http.Client{Transport: transport},
+		fresh:    &http.Client{Transport: &http.Transport{DialContext: settings.Dial, DisableKeepAlives: true, DisableCompression: true}},
+		doubles:  budget.NewRatio(doubleShare, doubleBurst),
 		rng:      rand.New(rand.NewPCG(settings.Seed, 1)),
 		answers:  make(map[string]*held),
+		suspects: make(map[string]time.Time),
 	}
 }
 
@@ -131,10 +149,15 @@
 	// verdict is the worst verdict so far: once a submission may have run, only a definite answer changes it.
 	verdict fault.Verdict
 	failed  map[string]bool
+	// last is the host of the latest submission.
+	last *EntryHost
+	// launched counts the submissions of the key.
+	launched int
 }
 
 func (s *submission) run(ctx context.Context) (*Response, error) {
 	s.failed = make(map[string]bool)
+	s.client.earn()
 	if s.key != "" {
 		s.verdict = fault.MayHaveRun
 	}
@@ -161,6 +184,12 @@
 	return nil, s.finalFault(last)
 }
 
+func (c *Client) earn() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.doubles.Earn()
+}
+
 func wait(ctx context.Context, delay time.Duration) {
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
@@ -205,24 +234,114 @@
 	return failed
 }
 
-// attempt makes one submission at the host that suits it.
+// attempt makes one submission at the host that suits it, and a second one
+// beside it if the answer is so late that the connection may have gone silent.
 func (s *submission) attempt(ctx context.Context) (*Response, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan sent, 2)
+	if err := s.launch(ctx, s.client.http, results); err != nil {
+		return nil, err
+	}
+	late := time.NewTimer(lateAfter(ctx))
+	defer late.Stop()
+	running := 1
+	for {
+		select {
+		case <-late.C:
+			s.client.http.CloseIdleConnections()
+			s.failed[s.last.Name] = true
+			s.client.suspect(s.last)
+			s.client.forget(s.request.Service)
+			if s.client.mayDouble(s.isRead()) && s.launch(ctx, s.client.fresh, results) == nil {
+				running++
+			}
+		case got := <-results:
+			running--
+			response, err := s.note(got)
+			if err == nil || running == 0 {
+				return response, err
+			}
+		}
+	}
+}
+
+// sent is the end of a submission at one host.
+type sent struct {
+	host     *EntryHost
+	response *Response
+	err      error
+}
+
+// launch sends the request to a host that has not failed yet.
+func (s *submission) launch(ctx context.Context, client *http.Client, results chan<- sent) error {
 	host, err := s.client.choose(ctx, s.request.Service, s.failed)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.NotRun, http.StatusServiceUnavailable, "NoEntryHost")
+		return fault.Wrap(err, fault.NotRun, http.StatusServiceUnavailable, "NoEntryHost")
 	}
 	if s.key == "" && !s.isRead() {
 		s.key = host.Token + "." + cryptorand.Text()
+		s.launched = 0
+	}
+	s.launched++
+	s.last = host
+	key := s.key
+	go func() {
+		response, err := s.send(ctx, client, host, key)
+		results <- sent{host: host, response: response, err: err}
+	}()
+	return nil
+}
+
+// note keeps what a submission tells about the request and its host.
+func (s *submission) note(got sent) (*Response, error) {
+	if got.err == nil && s.isStaleToken(got.response) {
+		got.err = fault.New(fault.NotRun, got.response.Status, got.response.Header.Get(header.Reason))
 	}
-	response, err := s.send(ctx, host)
-	if err != nil {
-		s.failed[host.Name] = true
+	if got.err != nil {
+		s.failed[got.host.Name] = true
+		s.client.suspect(got.host)
 		s.client.forget(s.request.Service)
-		s.noteError(err)
-		return nil, err
+		s.noteError(got.err)
+		return nil, got.err
+	}
+	s.noteResponse(got.response)
+	return got.response, nil
+}
+
+// isStaleToken reports whether a new key was drawn from a home that is gone. The
+// host that says so did not run the request, and this was the only submission,
+// so that a new key may be drawn. The transport cannot have sent it twice: see outgoing.
+func (s *submission) isStaleToken(response *Response) bool {
+	if s.isRead() || s.launched != 1 || s.request.Key != "" || response.Verdict != fault.MayHaveRun {
+		return false
+	}
+	switch response.Header.Get(header.Reason) {
+	case "HomeGone", "HomeUnreachable", "Foreign", "Forgotten":
+		return true
+	default:
+		return false
 	}
-	s.noteResponse(response)
-	return response, nil
+}
+
+// lateAfter is when an answer counts as late: at a third of the time left.
+func lateAfter(ctx context.Context) time.Duration {
+	deadline, found := ctx.Deadline()
+	if !found {
+		return lateLeast
+	}
+	return max(time.Until(deadline)/lateParts, lateLeast)
+}
+
+// mayDouble reports whether a late request may be sent a second time: keyed ones
+// always, since their home joins the submissions, and reads within a budget.
+func (c *Client) mayDouble(isRead bool) bool {
+	if !isRead {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.doubles.Spend()
 }
 
 // noteError keeps the verdict; a key that was never sent is dropped, so that a
@@ -245,12 +364,12 @@
 	}
 }
 
-func (s *submission) send(ctx context.Context, host *EntryHost) (*Response, error) {
-	outgoing, err := s.outgoing(ctx, host)
+func (s *submission) send(ctx context.Context, client *http.Client, host *EntryHost, key string) (*Response, error) {
+	outgoing, err := s.outgoing(ctx, host, key)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.NotRun, http.StatusBadRequest, "BadRequest")
 	}
-	answer, err := s.client.http.Do(outgoing)
+	answer, err := client.Do(outgoing)
 	if err != nil {
 		return nil, fault.Wrap(err, verdictOfSend(err), http.StatusBadGateway, "EntryHostLost")
 	}
@@ -265,7 +384,7 @@
 		Body:     body,
 		Verdict:  fault.ParseVerdict(answer.Header.Get(header.Verdict)),
 		Replayed: answer.Header.Get(header.Replayed) == "true",
-		Key:      s.key,
+		Key:      key,
 	}, nil
 }
 
@@ -278,17 +397,22 @@
 	return fault.MayHaveRun
 }
 
-func (s *submission) outgoing(ctx context.Context, host *EntryHost) (*http.Request, error) {
+func (s *submission) outgoing(ctx context.Context, host *EntryHost, key string) (*http.Request, error) {
 	address := "http://" + host.Address + "/svc/" + s.request.Service + s.request.Path
-	outgoing, err := http.NewRequestWithContext(ctx, s.request.Method, address, bytes.NewReader(s.request.Body))
+	outgoing, err := http.NewRequestWithContext(ctx, s.request.Method, address, http.NoBody)
 	if err != nil {
 		return nil, err
 	}
+	if !s.isRead() || len(s.request.Body) > 0 {
+		// A body of this kind keeps net/http from sending the request again by itself.
+		outgoing.Body = io.NopCloser(bytes.NewReader(s.request.Body))
+		outgoing.ContentLength = int64(len(s.request.Body))
+	}
 	for name, values := range s.request.Header {
 		outgoing.Header[name] = values
 	}
-	if s.key != "" {
-		outgoing.Header.Set(header.IdempotencyKey, s.key)
+	if key != "" {
+		outgoing.Header.Set(header.IdempotencyKey, key)
 	}
 	if deadline, found := ctx.Deadline(); found {
 		left := max(time.Until(deadline).Milliseconds(), 1)
@@ -304,18 +428,21 @@
 		return nil, err
 	}
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	draw := c.rng.Float64()
-	c.mu.Unlock()
 	for i := range directory.Hosts {
 		h := &directory.Hosts[i]
 		draw -= h.Share
-		if draw < 0 && !failed[h.Name] {
+		if draw < 0 && !failed[h.Name] && !c.isSuspect(h.Address) {
 			return h, nil
 		}
 	}
-	for i := range directory.Hosts {
-		if !failed[directory.Hosts[i].Name] {
-			return &directory.Hosts[i], nil
+	for _, mayBeSuspect := range []bool{false, true} {
+		for i := range directory.Hosts {
+			h := &directory.Hosts[i]
+			if !failed[h.Name] && (mayBeSuspect || !c.isSuspect(h.Address)) {
+				return h, nil
+			}
 		}
 	}
 	clear(failed)
@@ -325,6 +452,18 @@
 	return &directory.Hosts[0], nil
 }
 
+// isSuspect reports whether a host failed lately; c.mu is held.
+func (c *Client) isSuspect(address string) bool {
+	return time.Now().Before(c.suspects[address])
+}
+
+// suspect makes every request avoid a host for a while.
+func (c *Client) suspect(host *EntryHost) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.suspects[host.Address] = time.Now().Add(suspectFor)
+}
+
 // Directory returns the answer for a service, from memory while it may be used.
 func (c *Client) Directory(ctx context.Context, service string) (*Directory, error) {
 	c.mu.Lock()
@@ -372,6 +511,7 @@
 	for i := range c.settings.Entries {
 		addresses = append(addresses, c.settings.Entries[(start+i)%len(c.settings.Entries)])
 	}
+	c.sortSuspectsLast(addresses)
 	err := eris.New("no entry host is configured")
 	for _, address := range addresses {
 		var directory *Directory
@@ -383,6 +523,20 @@
 	return nil, err
 }
 
+func (c *Client) sortSuspectsLast(addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	slices.SortStableFunc(addresses, func(a, b string) int {
+		if c.isSuspect(a) == c.isSuspect(b) {
+			return 0
+		}
+		if c.isSuspect(b) {
+			return -1
+		}
+		return 1
+	})
+}
+
 func (c *Client) ask(ctx context.Context, address, service string) (*Directory, error) {
 	ctx, cancel := context.WithTimeout(ctx, directoryTimeout)
 	defer cancel()
--- a/pkg/choose/pool.go
+++ b/pkg/choose/pool.go
@@ -14,7 +14,9 @@
 	// loadFade is the time constant of the smoothed load.
 	loadFade = 500 * time.Millisecond
 	// extraBurst is how many extra attempts may be saved up.
-	extraBurst = 10
+	extraBurst = 20
+	// retryReserve is the part of the saved extra attempts that hedges leave to retries.
+	retryReserve = 10
 	// usableShareInverse keeps at least a third of the targets from ejection.
 	usableShareInverse = 3
 )
@@ -29,6 +31,8 @@
 type attempt struct {
 	target *state
 	sent   time.Time
+	// doubted attempts no longer hold a slot.
+	doubted bool
 }
 
 func (r *pending) hasTried(target string) bool {
@@ -177,6 +181,7 @@
 		Target:     target.Name,
 		Attempt:    len(r.attempts),
 		HedgeAfter: p.hedgeAfter(r),
+		Typical:    p.typical.median,
 		Cause:      cause,
 	}
 }
@@ -195,7 +200,7 @@
 		return Actions{}
 	}
 	target, _ := p.pick(now, r)
-	if target == nil || r.hasTried(target.Name) || target.isEjected(now) || !p.extra.Spend() {
+	if target == nil || r.hasTried(target.Name) || target.isEjected(now) || !p.extra.SpendAbove(retryReserve) {
 		return Actions{}
 	}
 	return Actions{Grants: []Grant{p.grant(now, r, target, "hedge of a late answer")}}
@@ -236,9 +241,29 @@
 	}
 	ended := r.attempts[number-1]
 	ended.target.end(ended.sent)
+	if !ended.doubted {
+		ended.target.inFlight--
+	}
 	return ended.target
 }
 
+// Doubt frees the slots of a request's attempts, which are so late that their
+// connections may have gone silent. The targets stay under suspicion until the attempts end.
+func (p *Pool) Doubt(now time.Time, id uint64) Actions {
+	r, found := p.requests[id]
+	if !found {
+		return Actions{}
+	}
+	for i := range r.attempts {
+		a := &r.attempts[i]
+		if !a.doubted && a.target.isOut(a.sent) {
+			a.doubted = true
+			a.target.inFlight--
+		}
+	}
+	return p.dispatch(now)
+}
+
 func (p *Pool) judge(now time.Time, s *state, outcome Outcome) {
 	switch outcome.Kind {
 	case Answered:
--- a/pkg/choose/pool_test.go
+++ b/pkg/choose/pool_test.go
@@ -212,3 +212,37 @@
 		is.True(a.Grants[0].Target != "t1")
 	}
 }
+
+// TestHedgesLeaveRetriesTheirShare spends all that hedges may have and then needs retries.
+func TestHedgesLeaveRetriesTheirShare(t *testing.T) {
+	is := is.New(t)
+	p := newPool(8)
+	for id := uint64(1); id <= 100; id++ {
+		p.Arrive(start, read(id))
+		attempts := 1 + len(p.Hedge(start, id).Grants)
+		for number := 1; number <= attempts; number++ {
+			p.Finish(start, id, number, choose.Outcome{Kind: choose.Answered, Latency: time.Millisecond})
+		}
+		p.Release(start, id)
+	}
+	for id := uint64(101); id <= 105; id++ {
+		p.Arrive(start, read(id))
+		p.Finish(start, id, 1, choose.Outcome{Kind: choose.Errored})
+		_, allowed := p.Retry(start, id, false)
+		is.True(allowed)
+		p.Finish(start, id, 2, choose.Outcome{Kind: choose.Answered, Latency: time.Millisecond})
+		p.Release(start, id)
+	}
+}
+
+// TestDoubtedAttemptsFreeTheirSlots keeps requests on silent connections from starving the others.
+func TestDoubtedAttemptsFreeTheirSlots(t *testing.T) {
+	is := is.New(t)
+	p := newPool(1)
+	p.Arrive(start, read(1))
+	p.Arrive(start, read(2))
+	is.Equal(len(p.Arrive(start, read(3)).Grants), 0)
+	is.Equal(len(p.Doubt(start, 1).Grants), 1)
+	is.Equal(len(p.Finish(start, 1, 1, choose.Outcome{Kind: choose.Errored}).Grants), 0)
+	is.Equal(p.Views(start)[0].InFlight, 2)
+}
--- a/pkg/choose/target.go
+++ b/pkg/choose/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -107,8 +108,12 @@
 	s.sent = append(s.sent, now)
 }
 
+// isOut reports whether an attempt that was sent at a time has not ended.
+func (s *state) isOut(sentAt time.Time) bool {
+	return slices.ContainsFunc(s.sent, sentAt.Equal)
+}
+
 func (s *state) end(sentAt time.Time) {
-	s.inFlight--
 	for i, at := range s.sent {
 		if at.Equal(sentAt) {
 			s.sent = append(s.sent[:i], s.sent[i+1:]...)
--- a/pkg/ledger/reader.go
+++ b/pkg/ledger/reader.go
@@ -48,7 +48,7 @@
 	undecided []offsetRecord
 	next      uint64
 	inForce   map[string]Document
-	texts     map[Version]string
+	texts     map[Version]Document
 }
 
 type offsetRecord struct {
@@ -65,7 +65,7 @@
 		validate: validate,
 		next:     1,
 		inForce:  make(map[string]Document),
-		texts:    make(map[Version]string),
+		texts:    make(map[Version]Document),
 	}
 }
 
@@ -159,7 +159,7 @@
 
 func (r *Reader) setInForce(d Document) {
 	r.inForce[d.Service] = d
-	maps.DeleteFunc(r.texts, func(v Version, _ string) bool {
+	maps.DeleteFunc(r.texts, func(v Version, _ Document) bool {
 		return v.Service == d.Service && v.Version <= d.Version.Version
 	})
 }
@@ -172,7 +172,8 @@
 	}
 	for _, v := range claim.InForce {
 		if v.Version > r.inForce[v.Service].Version.Version {
-			r.setInForce(Document{Version: v, Text: r.texts[v]})
+			known := r.texts[v]
+			r.setInForce(Document{Version: v, Text: known.Text, Author: known.Author})
 		}
 	}
 	r.through = claim.Through
@@ -206,9 +207,9 @@
 	}
 }
 
-// AddText takes the text of a version from another host.
-func (r *Reader) AddText(v Version, text string) {
-	r.addText(v, text, "")
+// AddText takes the text and the author of a version from another host.
+func (r *Reader) AddText(d Document) {
+	r.addText(d.Version, d.Text, d.Author)
 }
 
 func (r *Reader) addText(v Version, text, author string) {
@@ -224,7 +225,7 @@
 		return
 	}
 	if v.Version > held.Version.Version {
-		r.texts[v] = text
+		r.texts[v] = Document{Version: v, Text: text, Author: author}
 	}
 }
 
--- a/pkg/ledger/reader_test.go
+++ b/pkg/ledger/reader_test.go
@@ -75,7 +75,7 @@
 	r.Apply(3, &ledger.Record{Kind: ledger.KindIndex, Through: 1, InForce: []ledger.Version{{Service: "a", Version: 1}}})
 	is.True(!r.Current(4)) // offset 2 may have changed everything
 	r.Learn(ledger.Claim{Through: 2, InForce: []ledger.Version{{Service: "a", Version: 2}}})
-	r.AddText(ledger.Version{Service: "a", Version: 2}, "a:v2")
+	r.AddText(ledger.Document{Version: ledger.Version{Service: "a", Version: 2}, Text: "a:v2"})
 	is.True(r.Current(4))
 }
 
@@ -83,7 +83,7 @@
 	for _, seed := range []string{`{"Kind":"Proposal"}`, `{"Kind":"Text"}`, `{}`, "", `{"Kind":"Index","Through":-1}`, "[]"} {
 		f.Add([]byte(seed))
 	}
-	f.Fuzz(func(t *testing.T, encoded []byte) {
+	f.Fuzz(func(_ *testing.T, encoded []byte) {
 		record, err := ledger.DecodeRecord(encoded)
 		if err == nil {
 			ledger.New(validate).Apply(1, &record)
@@ -165,7 +165,7 @@
 				to.Learn(from.Claim())
 				for _, d := range from.Documents() {
 					if d.Text != "" {
-						to.AddText(d.Version, d.Text)
+						to.AddText(d)
 					}
 				}
 			},
--- a/pkg/ledger/record.go
+++ b/pkg/ledger/record.go
@@ -32,7 +32,7 @@
 	Kind Kind
 	// ID names the append, so that its author can find it again after a lost reply.
 	ID string
-	// Author names the operator or the host that appended the record.
+	// Author names the operator who proposed the text, or the host that appended an index.
 	Author string
 	// Service, Base and Text belong to a proposal; Service, Version and Text to a text.
 	Service string `json:",omitempty"`
--- a/pkg/ledger/restate.go
+++ b/pkg/ledger/restate.go
@@ -64,7 +64,7 @@
 		}
 		inForce[d.Version] = seen
 		if d.Text != "" && now.Sub(seen) > wait {
-			due = append(due, Record{Kind: KindText, Service: d.Service, Version: d.Version.Version, Text: d.Text})
+			due = append(due, Record{Kind: KindText, Service: d.Service, Version: d.Version.Version, Text: d.Text, Author: d.Author})
 		}
 	}
 	s.texts = inForce
