Measure the policies side by side against an ideal central queue

Cause: the choice that shapes the rest, slots held by few hosts and bound late against reports at every host, was known from a model only. Change: standin bench runs 13 entry hosts and 15 targets of 4 slots, open loop, every policy on the same fleet with the same arrivals, and computes one central queue from the same arrivals, service times and target speeds.

--- /dev/null
+++ b/internal/stand/bench/doc.go
@@ -0,0 +1,2 @@
+// Package bench measures the policies side by side under the conditions of docs/POLICY.md.
+package bench
--- /dev/null
+++ b/internal/stand/bench/run.go
@@ -0,0 +1,401 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"gitlab.com/curranttiller/curranttiller/internal/stand/fleet"
+	"gitlab.com/curranttiller/curranttiller/internal/stand/load"
+	"gitlab.com/curranttiller/curranttiller/internal/stand/noise"
+	"gitlab.com/curranttiller/curranttiller/internal/stand/server"
+	"gitlab.com/curranttiller/curranttiller/pkg/caller"
+)
+
+const (
+	sigStop = syscall.SIGSTOP
+	sigCont = syscall.SIGCONT
+
+	warmUp      = 1500 * time.Millisecond
+	startDelay  = 100 * time.Millisecond
+	settleAfter = 250 * time.Millisecond
+	percent     = 100
+)
+
+// Policy is a document that is measured against the others.
+type Policy struct {
+	Name  string
+	Lines string
+}
+
+// Policies are measured in this order, interleaved within each condition.
+func Policies() []Policy {
+	everyHost := "[Steering]\nHolders = 0\nPolicy = "
+	noHedge := "[Retries]\nHedgeQuantile = 1\n"
+	return []Policy{
+		{"Held", "[Steering]\nPolicy = Held\n"},
+		{"HeldNoHedge", noHedge + "[Steering]\nPolicy = Held\n"},
+		{"Held2", "[Steering]\nPolicy = Held\nHolders = 2\n"},
+		{"Reports", everyHost + "Reports\n"},
+		{"TwoChoices", noHedge + everyHost + "TwoChoices\n"},
+		{"RoundRobin", noHedge + everyHost + "RoundRobin\n"},
+		{"Random", noHedge + everyHost + "Random\n"},
+	}
+}
+
+// Options select what is measured.
+type Options struct {
+	Program, Standin string
+	Service          fleet.Service
+	Hosts            int
+	Length           time.Duration
+	Work             time.Duration
+	Seed             uint64
+	// Only and OnlyPolicy are prefixes of the conditions and names of the policies to measure; empty means all.
+	Only       string
+	OnlyPolicy string
+	// Out is a folder for the results.
+	Out string
+}
+
+// Row is what one policy did under one condition; latencies are in ms.
+type Row struct {
+	Condition, Policy         string
+	Rate                      float64
+	ReadP50, ReadP99, ReadTop float64
+	WriteP99                  float64
+	IdealP99, IdealTop        float64
+	// Answered, NotRun and MayHave are shares of the requests.
+	Answered, NotRun, MayHave float64
+	// Goodput is the answered work as a share of the capacity.
+	Goodput float64
+	// Extra is the share of attempts beyond one a request, and Wasted the share of slot time of cancelled ones.
+	Extra, Wasted float64
+	Probes        int
+	ProbeShare    float64
+	// Victim is the share of requests that the faulty target saw from 250 ms after the fault on.
+	Victim float64
+	// Recovery is the time in ms after the fault until the p99 of 50 ms windows stays within 1.5 of that before.
+	Recovery float64
+	// Late is how far the sender fell behind, in ms.
+	Late float64
+	// Series are the 99th percentiles of reads in windows of 100 ms, for the report.
+	Series []float64
+	Totals load.Totals
+}
+
+// Run measures every selected pair and writes the rows as JSON.
+func Run(ctx context.Context, o *Options, out io.Writer) error {
+	dir, err := os.MkdirTemp("", "curranttiller-bench-")
+	if err != nil {
+		return eris.Wrap(err, "making a folder for the measurement")
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	var rows []Row
+	printHead(out)
+	for _, c := range conditions() {
+		if !strings.HasPrefix(c.name, o.Only) {
+			continue
+		}
+		got, err := measureCondition(ctx, o, &c, dir, out)
+		if err != nil {
+			return err
+		}
+		rows = append(rows, got...)
+	}
+	return writeRows(o.Out, rows)
+}
+
+func writeRows(folder string, rows []Row) error {
+	if folder == "" {
+		return nil
+	}
+	if err := os.MkdirAll(folder, 0o750); err != nil {
+		return eris.Wrap(err, "making the folder for results")
+	}
+	encoded, err := json.MarshalIndent(rows, "", " ")
+	if err != nil {
+		return eris.Wrap(err, "encoding results")
+	}
+	return eris.Wrap(os.WriteFile(filepath.Join(folder, "bench.json"), encoded, 0o600), "writing results")
+}
+
+// measureCondition measures the policies one after the other on one fleet, so
+// that they see the same machine in the same minute.
+func measureCondition(ctx context.Context, o *Options, c *condition, dir string, out io.Writer) ([]Row, error) {
+	f, err := fleet.Start(ctx, &fleet.Options{
+		Program: o.Program, Standin: o.Standin, Dir: dir, Hosts: o.Hosts, Domains: 3, IsDirect: true,
+		Services: []fleet.Service{o.Service}, Retention: time.Hour, ListLag: 100 * time.Millisecond,
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	var rows []Row
+	base := uint64(0)
+	for _, p := range Policies() {
+		if o.OnlyPolicy != "" && !strings.Contains(","+o.OnlyPolicy+",", ","+p.Name+",") {
+			continue
+		}
+		service := o.Service
+		service.Document = p.Lines
+		if _, err := f.Publish(ctx, &service, base); err != nil {
+			return nil, err
+		}
+		base++
+		row, err := measure(ctx, o, c, f, p.Name)
+		if err != nil {
+			return nil, err
+		}
+		printRow(out, row)
+		rows = append(rows, *row)
+		if err := heal(ctx, f); err != nil {
+			return nil, err
+		}
+	}
+	return rows, nil
+}
+
+// heal undoes a fault, so that the next policy finds the same fleet.
+func heal(ctx context.Context, f *fleet.Fleet) error {
+	for _, h := range f.Hosts {
+		if h.ExitedEarly() {
+			if err := h.Start(); err != nil {
+				return err
+			}
+		}
+	}
+	return f.AwaitMembers(ctx, f.Hosts)
+}
+
+func holderOf(ctx context.Context, f *fleet.Fleet) (*fleet.Host, error) {
+	directory, err := load.Fetch[caller.Directory](ctx, f.Hosts[0].Caller, "/tiller/directory?service="+f.Services[0].Name)
+	if err != nil {
+		return nil, err
+	}
+	if len(directory.Hosts) == 0 {
+		return nil, eris.New("the directory names no host")
+	}
+	return f.Host(directory.Hosts[0].Name), nil
+}
+
+func behaveAll(ctx context.Context, f *fleet.Fleet, c *condition, work time.Duration, start time.Time) error {
+	for _, t := range f.Targets {
+		behaviour := c.behave(work)
+		behaviour.StartUnixNanos = start.UnixNano()
+		if err := f.Behave(ctx, t, &behaviour); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// statsOf adds up the targets' counters.
+func statsOf(ctx context.Context, targets []*fleet.Target) (server.Stats, error) {
+	var sum server.Stats
+	for _, t := range targets {
+		s, err := load.Fetch[server.Stats](ctx, t.Direct, "/stats")
+		if err != nil {
+			return sum, err
+		}
+		sum.Requests += s.Requests
+		sum.Probes += s.Probes
+		sum.BusyMillis += s.BusyMillis
+		sum.BusyProbeMillis += s.BusyProbeMillis
+		sum.WastedMillis += s.WastedMillis
+	}
+	return sum, nil
+}
+
+func measure(ctx context.Context, o *Options, c *condition, f *fleet.Fleet, policy string) (*Row, error) {
+	client := caller.New(caller.Settings{Entries: f.Entries(), Timeout: 2 * time.Second, Seed: o.Seed})
+	defer client.Close()
+	if err := behaveAll(ctx, f, c, o.Work, time.Now()); err != nil {
+		return nil, err
+	}
+	warm := (&condition{load: min(c.load, 0.5)}).plan(&o.Service, warmUp, o.Work, o.Seed+1000)
+	load.Run(ctx, client, warm, time.Now())
+	start := time.Now().Add(startDelay)
+	if err := behaveAll(ctx, f, c, o.Work, start); err != nil {
+		return nil, err
+	}
+	before, err := statsOf(ctx, f.Targets)
+	if err != nil {
+		return nil, err
+	}
+	plan := c.plan(&o.Service, o.Length, o.Work, o.Seed)
+	plan.Tag = policy
+	session := load.Start(ctx, client, plan, start)
+	victim, err := injectFault(ctx, c, f, plan, start)
+	if err != nil {
+		return nil, err
+	}
+	result := session.Wait()
+	return summarize(ctx, o, c, f, policy, result, before, victim)
+}
+
+// victimSeen is how many requests the first target had seen 250 ms after the fault.
+type victimSeen struct {
+	requests int
+	at       time.Duration
+}
+
+func injectFault(ctx context.Context, c *condition, f *fleet.Fleet, plan *load.Plan, start time.Time) (victimSeen, error) {
+	if c.fault == nil {
+		return victimSeen{}, nil
+	}
+	time.Sleep(time.Until(start.Add(plan.JumpAt)))
+	if err := c.fault(ctx, f); err != nil {
+		return victimSeen{}, err
+	}
+	time.Sleep(settleAfter)
+	seen, err := statsOf(ctx, f.Targets[:1])
+	return victimSeen{requests: seen.Requests, at: time.Since(start)}, err
+}
+
+func summarize(ctx context.Context, o *Options, c *condition, f *fleet.Fleet, policy string, result *load.Result, before server.Stats, victim victimSeen) (*Row, error) {
+	after, err := statsOf(ctx, f.Targets)
+	if err != nil {
+		return nil, err
+	}
+	runs, err := load.CollectRuns(ctx, f.TargetAddresses(""))
+	if err != nil {
+		return nil, err
+	}
+	result.Count(nil)
+	counted := *result
+	counted.Count(runs)
+	row := newRow(c, policy, result)
+	row.Totals = counted.Totals
+	requests := float64(after.Requests - before.Requests)
+	row.Extra = max(requests/float64(len(result.Outcomes))-1, 0)
+	row.Wasted = (after.WastedMillis - before.WastedMillis) / max(after.BusyMillis-before.BusyMillis, 1)
+	row.Probes = after.Probes - before.Probes
+	slotMillis := float64(o.Service.Targets*o.Service.Slots) * float64(o.Length.Milliseconds())
+	row.ProbeShare = (after.BusyProbeMillis - before.BusyProbeMillis) / slotMillis
+	row.Goodput = goodput(result, o)
+	if c.fault != nil {
+		seen, err := statsOf(ctx, f.Targets[:1])
+		if err != nil {
+			return nil, err
+		}
+		row.Victim = float64(seen.Requests-victim.requests) / float64(max(countAfter(result, victim.at), 1))
+	}
+	row.Recovery = recovery(result)
+	row.setIdeal(o, c, f, result)
+	return row, nil
+}
+
+func countAfter(result *load.Result, at time.Duration) int {
+	count := 0
+	for i := range result.Outcomes {
+		if result.Outcomes[i].At >= at {
+			count++
+		}
+	}
+	return count
+}
+
+func newRow(c *condition, policy string, result *load.Result) *Row {
+	reads := result.Latencies(func(o *load.Outcome) bool { return o.IsRead })
+	writes := result.Latencies(func(o *load.Outcome) bool { return !o.IsRead })
+	count := float64(max(len(result.Outcomes), 1))
+	return &Row{
+		Condition: c.name, Policy: policy, Rate: result.Plan.Rate,
+		ReadP50: ms(reads.ValueAtQuantile(50)), ReadP99: ms(reads.ValueAtQuantile(99)), ReadTop: ms(reads.ValueAtQuantile(99.9)),
+		WriteP99: ms(writes.ValueAtQuantile(99)),
+		Answered: float64(result.Totals.Answered) / count, NotRun: float64(result.Totals.NotRun) / count,
+		MayHave: float64(result.Totals.MayHave+result.Totals.Failed) / count,
+		Late:    ms(result.Late.Microseconds()),
+		Series:  series(result),
+	}
+}
+
+func ms(micros int64) float64 {
+	return float64(micros) / float64(time.Millisecond/time.Microsecond)
+}
+
+// goodput is the answered work as a share of what the targets can do.
+func goodput(result *load.Result, o *Options) float64 {
+	arrivals := result.Plan.Arrivals()
+	done := time.Duration(0)
+	for i := range result.Outcomes {
+		if result.Outcomes[i].Status == http.StatusOK && result.Outcomes[i].Ended <= o.Length {
+			done += arrivals[i].Work
+		}
+	}
+	return done.Seconds() / (o.Length.Seconds() * float64(o.Service.Targets*o.Service.Slots))
+}
+
+const seriesWindow = 100 * time.Millisecond
+
+// series returns the 99th percentile of each window, by the arrival of the requests.
+func series(result *load.Result) []float64 {
+	var points []float64
+	for from := time.Duration(0); from < result.Plan.Length; from += seriesWindow {
+		h := result.Latencies(func(o *load.Outcome) bool { return o.At >= from && o.At < from+seriesWindow })
+		points = append(points, ms(h.ValueAtQuantile(99)))
+	}
+	return points
+}
+
+// recovery is the time after the change until the p99 of the windows stays
+// within twice that of the end of the run.
+func recovery(result *load.Result) float64 {
+	const window = 50 * time.Millisecond
+	p99 := func(from, to time.Duration) float64 {
+		return ms(result.Latencies(func(o *load.Outcome) bool { return o.At >= from && o.At < to }).ValueAtQuantile(99))
+	}
+	steady := p99(result.Plan.Length*2/3, result.Plan.Length)
+	last := time.Duration(0)
+	for from := result.Plan.JumpAt; from < result.Plan.Length*2/3; from += window {
+		if p99(from, from+window) > 2*steady {
+			last = from + window - result.Plan.JumpAt
+		}
+	}
+	return float64(last.Milliseconds())
+}
+
+// setIdeal computes the central queue from the same arrivals and target speeds.
+func (r *Row) setIdeal(o *Options, c *condition, f *fleet.Fleet, result *load.Result) {
+	schedules := make([]*noise.Schedule, 0, len(f.Targets))
+	for _, t := range f.Targets {
+		schedules = append(schedules, noise.NewSchedule(c.behave(o.Work).Noise, t.Name))
+	}
+	ideal := &load.Result{}
+	for i, latency := range load.Ideal(result.Plan.Arrivals(), schedules, o.Service.Slots) {
+		if i < len(result.Outcomes) {
+			ideal.Outcomes = append(ideal.Outcomes, load.Outcome{Status: http.StatusOK, Latency: latency})
+		}
+	}
+	h := ideal.Latencies(func(*load.Outcome) bool { return true })
+	r.IdealP99 = ms(h.ValueAtQuantile(99))
+	r.IdealTop = ms(h.ValueAtQuantile(99.9))
+}
+
+const rowFormat = "%-15s %-12s %7s %7s %7s %7s %7s %7s %6s %6s %6s %6s %6s %6s %6s %6s %5s\n"
+
+func printHead(out io.Writer) {
+	fmt.Fprintf(out, rowFormat, "Condition", "Policy", "R.p50", "R.p99", "R.p999", "W.p99", "Id.p99", "Id.p999",
+		"x p99", "x p999", "Answ%", "NotR%", "Extra%", "Waste%", "Vict%", "Recov", "Late")
+}
+
+func printRow(out io.Writer, r *Row) {
+	one := func(f float64) string { return fmt.Sprintf("%.1f", f) }
+	two := func(f float64) string { return fmt.Sprintf("%.2f", f) }
+	fmt.Fprintf(out, rowFormat, r.Condition, r.Policy, one(r.ReadP50), one(r.ReadP99), one(r.ReadTop), one(r.WriteP99),
+		one(r.IdealP99), one(r.IdealTop), two(r.ReadP99/r.IdealP99), two(r.ReadTop/r.IdealTop),
+		one(percent*r.Answered), one(percent*r.NotRun), one(percent*r.Extra), one(percent*r.Wasted), one(percent*r.Victim), one(r.Recovery), one(r.Late))
+	if r.Totals.Bad() {
+		fmt.Fprintf(out, "  PROMISE BROKEN: %+v\n", r.Totals)
+	}
+}
--- a/internal/stand/cmds/app.go
+++ b/internal/stand/cmds/app.go
@@ -13,7 +13,9 @@
 	"github.com/integrii/flaggy"
 	"github.com/rotisserie/eris"
 
+	"gitlab.com/curranttiller/curranttiller/internal/stand/bench"
 	"gitlab.com/curranttiller/curranttiller/internal/stand/demo"
+	"gitlab.com/curranttiller/curranttiller/internal/stand/fleet"
 	"gitlab.com/curranttiller/curranttiller/internal/stand/platf"
 	"gitlab.com/curranttiller/curranttiller/internal/stand/server"
 	"gitlab.com/curranttiller/curranttiller/internal/stand/tamper"
@@ -25,13 +27,14 @@
 	retentionMillis, listLagMillis, appends     int
 	slots, waiting, probeMillis, connections    int
 	hosts, seconds, repeats, services, perEntry int
-	seed                                        int
+	seed, workMillis, targetCount               int
+	only, policies, out                         string
 }
 
 func defaults() *options {
 	return &options{
 		retentionMillis: 3_600_000, appends: 500, slots: 4, waiting: 1000, probeMillis: 6, connections: 0,
-		hosts: 13, seconds: 10, repeats: 1, services: 4, perEntry: 0, seed: 1, program: "bin/curranttiller",
+		hosts: 13, seconds: 8, workMillis: 20, targetCount: 15, out: "out", repeats: 1, services: 4, perEntry: 0, seed: 1, program: "bin/curranttiller",
 	}
 }
 
@@ -48,6 +51,7 @@
 		{targetCommand(o), o.runTargets},
 		{proxyCommand(o), o.runProxy},
 		{demoCommand(o), o.runDemo},
+		{benchCommand(o), o.runBench},
 	}
 	for _, c := range commands {
 		parser.AttachSubcommand(c.sub, 1)
@@ -184,3 +188,30 @@
 	}
 	return demo.Run(ctx, o.program, self, os.Stdout)
 }
+
+func benchCommand(o *options) *flaggy.Subcommand {
+	sub := newCommand("bench", "Measures the policies side by side under each condition.")
+	sub.String(&o.program, "", "program", "path of the curranttiller binary")
+	sub.Int(&o.hosts, "", "hosts", "entry hosts")
+	sub.Int(&o.seconds, "", "seconds", "length of each run, in s")
+	sub.Int(&o.seed, "", "seed", "seed of arrivals and choices")
+	sub.Int(&o.workMillis, "", "work-millis", "mean service time, in ms")
+	sub.Int(&o.targetCount, "", "targets", "targets of the service")
+	sub.Int(&o.slots, "", "slots", "slots of each target")
+	sub.String(&o.only, "", "only", "only conditions whose name begins so")
+	sub.String(&o.policies, "", "policies", "only these policies, separated by commas")
+	sub.String(&o.out, "", "out", "folder for the results")
+	return sub
+}
+
+func (o *options) runBench(ctx context.Context) error {
+	self, err := os.Executable()
+	if err != nil {
+		return eris.Wrap(err, "finding the own binary")
+	}
+	return bench.Run(ctx, &bench.Options{
+		Program: o.program, Standin: self, Hosts: o.hosts, Out: o.out, Only: o.only, OnlyPolicy: o.policies,
+		Service: fleet.Service{Name: "reservas", Targets: o.targetCount, Slots: o.slots},
+		Length:  time.Duration(o.seconds) * time.Second, Work: time.Duration(o.workMillis) * time.Millisecond, Seed: uint64(o.seed),
+	}, os.Stdout)
+}
--- a/internal/stand/fleet/fleet.go
+++ b/internal/stand/fleet/fleet.go
@@ -49,6 +49,8 @@
 	// Retention and ListLag are those of the platform.
 	Retention time.Duration
 	ListLag   time.Duration
+	// IsDirect leaves the proxy out, for measurements.
+	IsDirect bool
 	// Settings holds INI lines added to the settings of every entry host.
 	Settings string
 }
@@ -148,6 +150,9 @@
 				Name: fmt.Sprintf("%s%d", s.Name, i+1), Service: s.Name, Domain: f.Domain(i),
 				Direct: addresses[2*i], Address: addresses[2*i+1],
 			}
+			if f.IsDirect {
+				t.Address = t.Direct
+			}
 			f.Targets = append(f.Targets, t)
 			names = append(names, t.Name+"="+t.Direct)
 			hosts = append(hosts, plat.Host{Name: t.Name, Role: plat.RoleTarget, Service: s.Name, Address: t.Address, FailureDomain: t.Domain, State: plat.StateLive})
@@ -187,6 +192,11 @@
 	}
 	for i := range f.Options.Hosts {
 		own := addresses[perHost*i : perHost*(i+1)]
+		if f.IsDirect {
+			own[1] = own[0]
+			own[2] = own[3]
+			platformRoutes[i] = f.Platform
+		}
 		name := fmt.Sprintf("entry%d", i+1)
 		routes = append(routes,
 			name+"-callers="+own[1]+">"+own[0],
@@ -207,9 +217,11 @@
 		return eris.Wrap(err, "writing the routes")
 	}
 	var err error
-	f.proxy, err = startProcess(f.Dir, "proxy", f.Standin, "proxy", "--control", f.Control, "--routes", path)
-	if err != nil {
-		return err
+	if !f.IsDirect {
+		f.proxy, err = startProcess(f.Dir, "proxy", f.Standin, "proxy", "--control", f.Control, "--routes", path)
+		if err != nil {
+			return err
+		}
 	}
 	for _, h := range f.Hosts {
 		h.Process, err = startProcess(f.Dir, h.Name, f.Program, "entry", h.Settings)
--- a/internal/stand/fleet/process.go
+++ b/internal/stand/fleet/process.go
@@ -101,6 +101,19 @@
 	return p.cmd.ProcessState.ExitCode()
 }
 
+// ExitedEarly reports whether the program has ended.
+func (p *Process) ExitedEarly() bool {
+	p.mu.Lock()
+	done := p.done
+	p.mu.Unlock()
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
+}
+
 // PID returns the process number.
 func (p *Process) PID() int {
 	p.mu.Lock()
--- a/internal/stand/load/arrivals.go
+++ b/internal/stand/load/arrivals.go
@@ -25,6 +25,8 @@
 	// Unkeyed sends non-idempotent requests without a key.
 	Unkeyed bool
 	Seed    uint64
+	// Tag tells the operations of plans with the same seed apart.
+	Tag string
 }
 
 // Arrival is one request of a plan.
--- a/internal/stand/load/run.go
+++ b/internal/stand/load/run.go
@@ -132,7 +132,7 @@
 }
 
 func send(ctx context.Context, client *caller.Client, plan *Plan, a Arrival, index int, start time.Time) Outcome {
-	operation := fmt.Sprintf("%s-%d-%d", plan.Service, plan.Seed, index)
+	operation := fmt.Sprintf("%s-%s%d-%d", plan.Service, plan.Tag, plan.Seed, index)
 	request := &caller.Request{
 		Service: plan.Service,
 		Method:  http.MethodGet,
