--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -41,7 +41,8 @@
 func (d *Daemon) forwardKeyed(ctx context.Context, address string, request *route.Request, w http.ResponseWriter) error {
 	body, err := newReplayBody(request)
 	if err != nil {
-		return fault.Wrap(err, fault.NotRun, http.StatusBadRequest, "BodyUnreadable")
+		// An earlier submission may have run: only the home can say that none did.
+		return fault.Wrap(err, fault.MayHaveRun, http.StatusBadRequest, "BodyUnreadable")
 	}
 	request.Body = body.reader()
 	err = d.forward(ctx, address, request, w)
@@ -79,7 +80,7 @@
 			d.events.Add(event.Event{Kind: "AnswerReplayed", Service: request.Service, Request: request.ID, Cause: key.String()})
 			return replay(w, request, &answer)
 		case settle.Full:
-			return fault.New(fault.NotRun, http.StatusServiceUnavailable, "KeysFull")
+			return fault.New(fault.MayHaveRun, http.StatusServiceUnavailable, "KeysFull")
 		case settle.Mismatch:
 			return fault.New(fault.NotRun, http.StatusUnprocessableEntity, "KeyOfAnotherRequest")
 		default:
@@ -105,12 +106,12 @@
 // runKeyed runs the first submission. The run goes on if its caller goes away,
 // because the next submission wants the answer.
 func (d *Daemon) runKeyed(ctx context.Context, request *route.Request, key settle.Key, w http.ResponseWriter) error {
-	settled := settle.Answer{Verdict: fault.MayHaveRun, Status: http.StatusBadGateway, Dropped: true}
+	settled := failedAnswer(fault.New(fault.MayHaveRun, http.StatusBadGateway, "Internal"))
 	// The outcome is recorded however the run ends; a panic leaves MayHaveRun.
 	defer func() { d.settleKey(key, settled) }()
 	s, err := d.lookup(request)
 	if err != nil {
-		settled.Verdict = fault.VerdictOf(err)
+		settled = failedAnswer(route.AsFault(err))
 		return err
 	}
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), request.Deadline)
@@ -135,7 +136,7 @@
 func replay(w http.ResponseWriter, request *route.Request, answer *settle.Answer) error {
 	w.Header().Set(header.Replayed, "true")
 	if answer.Dropped {
-		return fault.New(answer.Verdict, http.StatusConflict, "AnswerNotRemembered")
+		return fault.New(answer.Verdict, answer.Status, answer.Reason)
 	}
 	for _, field := range answer.Headers {
 		w.Header().Add(field[0], field[1])
@@ -146,6 +147,11 @@
 	return nil
 }
 
+// failedAnswer remembers a failure without a body.
+func failedAnswer(failed *fault.Error) settle.Answer {
+	return settle.Answer{Verdict: failed.Verdict, Status: failed.Status, Reason: failed.Reason, Dropped: true}
+}
+
 // recorder copies an answer for the memory while it is sent. Errors of the
 // receiver are dropped, because the run must be recorded whole all the same.
 type recorder struct {
@@ -182,13 +188,11 @@
 // answer returns what is remembered after a run that ended with err.
 func (r *recorder) answer(err error) settle.Answer {
 	if r.status == 0 {
-		failed := route.AsFault(err)
-		return settle.Answer{Verdict: failed.Verdict, Status: failed.Status, Dropped: true}
+		return failedAnswer(route.AsFault(err))
 	}
 	settled := settle.Answer{Verdict: fault.ParseVerdict(r.Header().Get(header.Verdict)), Status: r.status}
 	if err != nil || r.overflow {
-		settled.Dropped = true
-		return settled
+		return failedAnswer(fault.New(settled.Verdict, http.StatusConflict, "AnswerNotRemembered"))
 	}
 	for name, values := range r.Header() {
 		for _, value := range values {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -17,9 +17,9 @@
 
 const (
 	// forwardSuspect is how long a forwarded request may go unanswered before its connection is tested.
-	forwardSuspect = 500 * time.Millisecond
+	forwardSuspect = 150 * time.Millisecond
 	// forwardTest is how long the test may take.
-	forwardTest = 500 * time.Millisecond
+	forwardTest = 250 * time.Millisecond
 )
 
 // Serve answers one request of a caller or of another entry host. It returns
@@ -152,5 +152,19 @@
 	if _, err := d.peers.Heartbeat(ctx, address, &own); err != nil {
 		d.peerLog.Warn("connection to an entry host is silent; dropping it", "Peer", address)
 		d.peers.Drop(address)
+		d.failMember(address)
 	}
 }
+
+// failMember takes a host that does not answer out of use until it is heard of again.
+func (d *Daemon) failMember(address string) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, m := range d.members.Alive(now) {
+		if m.PeerAddress == address {
+			d.members.Refused(now, m.Name, m.Incarnation)
+		}
+	}
+	d.refreshHolding()
+}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -88,6 +88,7 @@
 	return choose.Settings{
 		Policy:            document.Policy,
 		Slots:             document.Slots,
+		Overcommit:        document.Overcommit,
 		QueueWaitAtMost:   document.QueueWaitAtMost,
 		AttemptsAtMost:    document.AttemptsAtMost,
 		ExtraAttemptShare: document.ExtraAttemptShare,
--- a/internal/stand/load/run.go
+++ b/internal/stand/load/run.go
@@ -223,6 +223,17 @@
 	}
 }
 
+// Reasons counts the requests without an answer by reason and verdict.
+func (r *Result) Reasons() map[string]int {
+	counts := make(map[string]int)
+	for i := range r.Outcomes {
+		if o := &r.Outcomes[i]; o.Status != http.StatusOK {
+			counts[o.Reason+" "+o.Verdict.String()]++
+		}
+	}
+	return counts
+}
+
 // Latencies returns a histogram in µs of the answered requests that keep selects.
 func (r *Result) Latencies(keep func(o *Outcome) bool) *hdrhistogram.Histogram {
 	h := hdrhistogram.New(lowestMicros, highestMicros, digits)
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -56,7 +56,7 @@
 	ContentLength int64
 	// Report is the target's load, or nil.
 	Report *choose.Report
-	// Verdict is Ran, or MayHaveRun for a gateway status of unknown origin.
+	// Verdict is Ran, NotRun for a marked refusal, or MayHaveRun for another server error.
 	Verdict fault.Verdict
 }
 
@@ -217,8 +217,8 @@
 		answer.Verdict = fault.NotRun
 		return answer, nil
 	}
-	switch response.StatusCode {
-	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+	if response.StatusCode >= http.StatusInternalServerError {
+		// The target does not say how far it came, or something between answered for it.
 		answer.Verdict = fault.MayHaveRun
 	}
 	if endsByClose(response) {
--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -31,9 +31,10 @@
 	idleConns        = 512
 	idleTimeout      = 5 * time.Second
 	maxAnswerBytes   = 64 << 20
-	// lateParts and lateLeast say when an answer is late enough for a second submission.
-	lateParts = 3
-	lateLeast = 300 * time.Millisecond
+	// lateParts, lateLeast and lateMost say when an answer is late enough for a second submission.
+	lateParts = 6
+	lateLeast = 250 * time.Millisecond
+	lateMost  = time.Second
 	// doubleShare and doubleBurst bound the second submissions of reads.
 	doubleShare = 0.1
 	doubleBurst = 100
@@ -324,13 +325,13 @@
 	}
 }
 
-// lateAfter is when an answer counts as late: at a third of the time left.
+// lateAfter is when an answer counts as late: after a part of the time left.
 func lateAfter(ctx context.Context) time.Duration {
 	deadline, found := ctx.Deadline()
 	if !found {
 		return lateLeast
 	}
-	return max(time.Until(deadline)/lateParts, lateLeast)
+	return min(max(time.Until(deadline)/lateParts, lateLeast), lateMost)
 }
 
 // mayDouble reports whether a late request may be sent a second time: keyed ones
--- a/pkg/choose/policy.go
+++ b/pkg/choose/policy.go
@@ -87,10 +87,21 @@
 // within a quarter of the typical latency are equal; then the own failure domain, fewer
 // requests in flight and the longest rest decide, in this order.
 func (p *Pool) pickFree(now time.Time, usable []*state) *state {
+	if best := p.pickWithin(now, usable, 0); best != nil || p.settings.Overcommit == 0 {
+		return best
+	}
+	best := p.pickWithin(now, usable, p.settings.Overcommit)
+	if best == nil || best.suspicion(now, p.typical.median) > p.typical.median+p.typical.median/2 {
+		return nil
+	}
+	return best
+}
+
+func (p *Pool) pickWithin(now time.Time, usable []*state, overcommit int) *state {
 	var best *state
 	var bestSuspicion time.Duration
 	for _, s := range usable {
-		if s.free(now, p.settings.Slots) < 1 {
+		if s.free(now, p.settings.Slots)+overcommit < 1 {
 			continue
 		}
 		suspicion := s.suspicion(now, p.typical.median)
--- a/pkg/choose/pool.go
+++ b/pkg/choose/pool.go
@@ -13,6 +13,8 @@
 const (
 	// loadFade is the time constant of the smoothed load.
 	loadFade = 500 * time.Millisecond
+	// overloadAfter is how long the wait must be too long before it counts as an overload and not as a burst.
+	overloadAfter = time.Second
 	// extraBurst is how many extra attempts may be saved up.
 	extraBurst = 20
 	// retryReserve is the part of the saved extra attempts that hedges leave to retries.
@@ -53,6 +55,8 @@
 	load     float64
 	loadTime time.Time
 	known    bool
+	// calm is when the expected wait was last within what the document allows.
+	calm time.Time
 	scratch  []*state
 }
 
@@ -66,6 +70,7 @@
 		extra:    budget.NewRatio(settings.ExtraAttemptShare, extraBurst),
 		rng:      rand.New(rand.NewPCG(seed, uint64(settings.Slots))),
 		loadTime: now,
+		calm:     now,
 	}
 }
 
@@ -124,7 +129,7 @@
 	if !now.Before(request.Deadline) {
 		return refuse(request.ID, ReasonDeadline)
 	}
-	if p.waiting.len() > 0 && p.expectedWait() > p.patience(now, r) {
+	if patience := p.patience(now, r); p.waiting.len() > 0 && p.expectedWait() > patience {
 		return refuse(request.ID, ReasonQueueFull)
 	}
 	p.requests[request.ID] = r
@@ -140,9 +145,17 @@
 	return slices.ContainsFunc(p.targets, func(s *state) bool { return !s.Leaving && !s.draining })
 }
 
-// patience is how long a request can wait and still be answered in time.
+// patience is how long a request may wait: as long as it can still be answered
+// in time, but in a lasting overload no longer than the document allows.
 func (p *Pool) patience(now time.Time, r *pending) time.Duration {
-	return min(p.settings.QueueWaitAtMost, r.Deadline.Sub(now)-p.typical.mean)
+	if p.expectedWait() <= p.settings.QueueWaitAtMost {
+		p.calm = now
+	}
+	untilDeadline := r.Deadline.Sub(now) - p.typical.mean
+	if now.Sub(p.calm) < overloadAfter {
+		return untilDeadline
+	}
+	return min(p.settings.QueueWaitAtMost, untilDeadline)
 }
 
 // expectedWait is the time until a request at the end of the queue gets a slot.
@@ -217,7 +230,9 @@
 	if !isRescue && (r.Single || p.load > p.settings.BusyShare || !p.extra.Spend()) {
 		return Actions{}, false
 	}
-	p.waiting.pushFront(r)
+	if !p.waiting.has(id) {
+		p.waiting.pushFront(r)
+	}
 	return p.dispatch(now), true
 }
 
--- a/pkg/choose/pool_test.go
+++ b/pkg/choose/pool_test.go
@@ -246,3 +246,24 @@
 	is.Equal(len(p.Finish(start, 1, 1, choose.Outcome{Kind: choose.Errored}).Grants), 0)
 	is.Equal(p.Views(start)[0].InFlight, 2)
 }
+
+// TestRequestWaitsOnce retries a request that waits already, as a rescue does
+// beside a failed attempt. Its second place in the queue once leaked a slot and
+// filled the channel of its turns, which stopped the whole host.
+func TestRequestWaitsOnce(t *testing.T) {
+	is := is.New(t)
+	p := newPool(2)
+	for id := uint64(1); id <= 4; id++ {
+		p.Arrive(start, read(id))
+	}
+	_, allowed := p.Retry(start, 1, true)
+	is.True(allowed)
+	_, allowed = p.Retry(start, 1, true)
+	is.True(allowed)
+	is.Equal(p.Waiting(), 1)
+	grants := 0
+	for id := uint64(1); id <= 4; id++ {
+		grants += len(p.Finish(start, id, 1, choose.Outcome{Kind: choose.Answered}).Grants)
+	}
+	is.Equal(grants, 1)
+}
--- a/pkg/choose/queue.go
+++ b/pkg/choose/queue.go
@@ -31,6 +31,11 @@
 	return front.Value.(*pending)
 }
 
+func (q *queue) has(id uint64) bool {
+	_, found := q.elements[id]
+	return found
+}
+
 func (q *queue) remove(id uint64) bool {
 	element, found := q.elements[id]
 	if found {
--- a/pkg/choose/target.go
+++ b/pkg/choose/target.go
@@ -11,6 +11,8 @@
 	suspicionFade = 60 * time.Millisecond
 	// foreignReports is how many reports in a row must show foreign load before it counts.
 	foreignReports = 8
+	// reportLag is how late a report may be without own requests counting as foreign.
+	reportLag = time.Second
 	// foreignFade is how long reported foreign load counts without a new report.
 	foreignFade = 500 * time.Millisecond
 	// reportFade is how fast the Reports policy forgets a report.
@@ -43,6 +45,9 @@
 	reportTime time.Time
 	foreign    [foreignReports]int
 	foreignAt  int
+	// mostOwn and mostBefore are the most own requests in flight in this and the last lag.
+	mostOwn, mostBefore int
+	mostSince           time.Time
 
 	errorsInRow int
 	slowInRow   int
@@ -59,8 +64,9 @@
 }
 
 // foreignLoad is the load that other hosts put on the target: the smallest
-// excess over the own requests in the last reports. The minimum keeps late
-// reports, which scatter both ways, from taking slots away.
+// excess in the last reports over the most own requests that were in flight
+// since the report may have been made. A report that is late by less than
+// reportLag cannot show own requests as foreign.
 func (s *state) foreignLoad(now time.Time) int {
 	if now.Sub(s.reportTime) > foreignFade {
 		return 0
@@ -105,6 +111,7 @@
 
 func (s *state) start(now time.Time) {
 	s.inFlight++
+	s.noteOwn(now)
 	s.sent = append(s.sent, now)
 }
 
@@ -123,14 +130,26 @@
 }
 
 func (s *state) hear(now time.Time, report Report) {
+	s.noteOwn(now)
 	s.report = report
 	s.reportTime = now
 	s.heard = now
 	s.draining = report.Draining
-	s.foreign[s.foreignAt%foreignReports] = max(report.Running+report.Waiting-s.inFlight, 0)
+	own := max(s.mostOwn, s.mostBefore, s.inFlight)
+	s.foreign[s.foreignAt%foreignReports] = max(report.Running+report.Waiting-own, 0)
 	s.foreignAt++
 }
 
+// noteOwn follows the most own requests in flight.
+func (s *state) noteOwn(now time.Time) {
+	if now.Sub(s.mostSince) > reportLag {
+		s.mostBefore = s.mostOwn
+		s.mostOwn = 0
+		s.mostSince = now
+	}
+	s.mostOwn = max(s.mostOwn, s.inFlight)
+}
+
 func (s *state) answered(now time.Time, latency, typical time.Duration, slots int) {
 	s.lastLatency = latency
 	s.lastAnswer = now
--- a/pkg/choose/types.go
+++ b/pkg/choose/types.go
@@ -8,6 +8,8 @@
 	Policy string
 	// Slots is the number of requests that a target works on at once.
 	Slots int
+	// Overcommit is how many requests beyond the slots may wait at a target, so that a slot is not idle while its next request travels.
+	Overcommit int
 	// QueueWaitAtMost bounds the wait for a free slot.
 	QueueWaitAtMost time.Duration
 	// AttemptsAtMost bounds the attempts of one request.
--- a/pkg/settle/home.go
+++ b/pkg/settle/home.go
@@ -6,8 +6,11 @@
 
 // Answer is the outcome of a request as it is remembered.
 type Answer struct {
-	// Verdict is Ran or MayHaveRun; a request that did not run is forgotten instead.
+	// Verdict is remembered whatever it is: a key that was refused as not run
+	// stays refused, because another submission of it may still be on its way.
 	Verdict fault.Verdict
+	// Reason names the failure of a request without an answer of the target.
+	Reason string
 	// Status is the HTTP status that the first submission got.
 	Status int
 	// Headers are the remembered head, in pairs of name and value.
@@ -32,7 +35,7 @@
 	Forgotten
 	// Foreign means that the key was drawn from another incarnation: answer MayHaveRun.
 	Foreign
-	// Full means that the memory has no room: answer NotRun.
+	// Full means that the memory has no room and cannot keep a refusal either: answer MayHaveRun.
 	Full
 	// Mismatch means that the key was used for another request: answer NotRun, for this one did not run.
 	Mismatch
@@ -43,6 +46,9 @@
 	return [...]string{"Run", "Join", "Replay", "Forgotten", "Foreign", "Full", "Mismatch"}[a]
 }
 
+// statusConflict is the HTTP status of an outcome whose answer was not kept.
+const statusConflict = 409
+
 type memory struct {
 	print  uint64
 	done   bool
@@ -121,8 +127,10 @@
 	if key.Counter > h.token.Counter {
 		return Foreign, Answer{}
 	}
-	if h.keys >= h.limits.Keys {
-		return Full, Answer{}
+	for h.keys >= h.limits.Keys {
+		if !h.forgetOldest(key.Counter) {
+			return Full, Answer{}
+		}
 	}
 	h.remember(key, print)
 	return Run, Answer{}
@@ -138,6 +146,22 @@
 	return Join, Answer{}
 }
 
+// forgetOldest makes room by raising the floor above the oldest era before one,
+// and reports whether that helped.
+func (h *Home) forgetOldest(before uint64) bool {
+	oldest := before
+	for era := range h.eras {
+		oldest = min(oldest, era)
+	}
+	if oldest >= before {
+		return false
+	}
+	h.floor = max(h.floor, oldest+1)
+	count := h.keys
+	h.forgetEra(oldest, h.eras[oldest])
+	return h.keys < count
+}
+
 func (h *Home) remember(key Key, print uint64) {
 	era, found := h.eras[key.Counter]
 	if !found {
@@ -148,21 +172,14 @@
 	h.keys++
 }
 
-// Finish records the outcome of a key for which Submit returned Run. A NotRun
-// outcome removes the key, so that the next submission may run.
+// Finish records the outcome of a key for which Submit returned Run.
 func (h *Home) Finish(key Key, answer Answer) {
 	m, found := h.eras[key.Counter][key.Unique]
 	if !found || m.done {
 		return
 	}
-	if answer.Verdict == fault.NotRun {
-		delete(h.eras[key.Counter], key.Unique)
-		h.keys--
-		return
-	}
 	if h.bytes+len(answer.Body) > h.limits.Bytes {
-		answer.Body = nil
-		answer.Dropped = true
+		answer = Answer{Verdict: answer.Verdict, Status: statusConflict, Reason: "AnswerNotRemembered", Dropped: true}
 	}
 	m.done = true
 	m.answer = answer
