--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 MINUTES ?= 5
 
-.PHONY: build demo test lint unit bench report soak generate docs tools
+.PHONY: build demo test lint unit bench report scale soak generate docs tools
 
 build:
 	go build -o bin/ ./cmd/...
@@ -29,3 +29,15 @@
 
 generate:
 	buf generate proto
+
+bench: build
+	./bin/standin bench --program ./bin/curranttiller --out out
+
+report: build
+	./bin/standin report --out out
+
+scale: build
+	./bin/standin scale --program ./bin/curranttiller
+
+soak: build
+	./bin/standin soak --program ./bin/curranttiller --seed $(SEED) --seconds $$(( $(MINUTES) * 60 ))
--- a/internal/stand/bench/run.go
+++ b/internal/stand/bench/run.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -88,6 +89,8 @@
 	Recovery float64
 	// Late is how far the sender fell behind, in ms.
 	Late float64
+	// Middle is the median of Series: the 99th percentile without the stalls of the machine that runs everything.
+	Middle float64
 	// Series are the 99th percentiles of reads in windows of 100 ms, for the report.
 	Series []float64
 	Totals load.Totals
@@ -293,6 +296,7 @@
 		row.Victim = float64(seen.Requests-victim.requests) / float64(max(countAfter(result, victim.at), 1))
 	}
 	row.Recovery = recovery(result)
+	row.Middle = median(row.Series)
 	row.setIdeal(o, c, f, result)
 	return row, nil
 }
@@ -339,6 +343,15 @@
 	return done.Seconds() / (o.Length.Seconds() * float64(o.Service.Targets*o.Service.Slots))
 }
 
+// median returns the middle value.
+func median(values []float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[len(sorted)/2]
+}
+
 const seriesWindow = 100 * time.Millisecond
 
 // series returns the 99th percentile of each window, by the arrival of the requests.
@@ -385,11 +398,11 @@
 	r.IdealTop = ms(h.ValueAtQuantile(99.9))
 }
 
-const rowFormat = "%-15s %-12s %7s %7s %7s %7s %7s %7s %6s %6s %6s %6s %6s %6s %6s %6s %5s\n"
+const rowFormat = "%-15s %-12s %7s %7s %7s %7s %7s %7s %6s %6s %6s %6s %6s %6s %6s %6s %5s %6s\n"
 
 func printHead(out io.Writer) {
 	fmt.Fprintf(out, rowFormat, "Condition", "Policy", "R.p50", "R.p99", "R.p999", "W.p99", "Id.p99", "Id.p999",
-		"x p99", "x p999", "Answ%", "NotR%", "Extra%", "Waste%", "Vict%", "Recov", "Late")
+		"x p99", "x p999", "Answ%", "NotR%", "Extra%", "Waste%", "Vict%", "Recov", "Late", "Mid99")
 }
 
 func printRow(out io.Writer, r *Row) {
@@ -397,7 +410,7 @@
 	two := func(f float64) string { return fmt.Sprintf("%.2f", f) }
 	fmt.Fprintf(out, rowFormat, r.Condition, r.Policy, one(r.ReadP50), one(r.ReadP99), one(r.ReadTop), one(r.WriteP99),
 		one(r.IdealP99), one(r.IdealTop), two(r.ReadP99/r.IdealP99), two(r.ReadTop/r.IdealTop),
-		one(percent*r.Answered), one(percent*r.NotRun), one(percent*r.Extra), one(percent*r.Wasted), one(percent*r.Victim), one(r.Recovery), one(r.Late))
+		one(percent*r.Answered), one(percent*r.NotRun), one(percent*r.Extra), one(percent*r.Wasted), one(percent*r.Victim), one(r.Recovery), one(r.Late), one(r.Middle))
 	if r.Goodput > 0 && r.NotRun > 0.01 {
 		fmt.Fprintf(out, "  goodput %.3f of the capacity\n", r.Goodput)
 	}
--- a/internal/stand/cmds/app.go
+++ b/internal/stand/cmds/app.go
@@ -18,6 +18,7 @@
 	"gitlab.com/curranttiller/curranttiller/internal/stand/fleet"
 	"gitlab.com/curranttiller/curranttiller/internal/stand/platf"
 	"gitlab.com/curranttiller/curranttiller/internal/stand/server"
+	"gitlab.com/curranttiller/curranttiller/internal/stand/soak"
 	"gitlab.com/curranttiller/curranttiller/internal/stand/tamper"
 )
 
@@ -27,14 +28,14 @@
 	retentionMillis, listLagMillis, appends     int
 	slots, waiting, probeMillis, connections    int
 	hosts, seconds, repeats, services, perEntry int
-	seed, workMillis, targetCount               int
+	seed, workMillis, targetCount, rate         int
 	only, policies, out                         string
 }
 
 func defaults() *options {
 	return &options{
 		retentionMillis: 3_600_000, appends: 500, slots: 4, waiting: 1000, probeMillis: 6, connections: 0,
-		hosts: 13, seconds: 8, workMillis: 20, targetCount: 15, out: "out", repeats: 1, services: 4, perEntry: 0, seed: 1, program: "bin/curranttiller",
+		hosts: 13, seconds: 8, workMillis: 20, targetCount: 15, rate: 200, out: "out", repeats: 1, services: 4, perEntry: 0, seed: 1, program: "bin/curranttiller",
 	}
 }
 
@@ -52,6 +53,7 @@
 		{proxyCommand(o), o.runProxy},
 		{demoCommand(o), o.runDemo},
 		{benchCommand(o), o.runBench},
+		{soakCommand(o), o.runSoak},
 	}
 	for _, c := range commands {
 		parser.AttachSubcommand(c.sub, 1)
@@ -215,3 +217,22 @@
 		Length:  time.Duration(o.seconds) * time.Second, Work: time.Duration(o.workMillis) * time.Millisecond, Seed: uint64(o.seed),
 	}, os.Stdout)
 }
+
+func soakCommand(o *options) *flaggy.Subcommand {
+	sub := newCommand("soak", "Runs a fleet under seeded faults of every kind and checks every promise about a request.")
+	sub.String(&o.program, "", "program", "path of the curranttiller binary")
+	sub.Int(&o.seconds, "", "seconds", "length of the run, in s")
+	sub.Int(&o.seed, "", "seed", "seed of arrivals and faults")
+	sub.Int(&o.rate, "", "rate", "requests a second")
+	return sub
+}
+
+func (o *options) runSoak(ctx context.Context) error {
+	self, err := os.Executable()
+	if err != nil {
+		return eris.Wrap(err, "finding the own binary")
+	}
+	return soak.Run(ctx, &soak.Options{
+		Program: o.program, Standin: self, Seed: uint64(o.seed), Length: time.Duration(o.seconds) * time.Second, Rate: float64(o.rate),
+	}, os.Stdout)
+}
--- /dev/null
+++ b/internal/stand/soak/soak.go
@@ -0,0 +1,244 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"gitlab.com/curranttiller/curranttiller/internal/plat"
+	"gitlab.com/curranttiller/curranttiller/internal/stand/fleet"
+	"gitlab.com/curranttiller/curranttiller/internal/stand/load"
+	"gitlab.com/curranttiller/curranttiller/internal/stand/platf"
+	"gitlab.com/curranttiller/curranttiller/internal/stand/server"
+	"gitlab.com/curranttiller/curranttiller/internal/stand/tamper"
+	"gitlab.com/curranttiller/curranttiller/pkg/caller"
+)
+
+const (
+	serviceName = "reservas"
+	hosts       = 4
+	targets     = 6
+	slots       = 4
+	meanWork    = 10 * time.Millisecond
+	timeout     = 3 * time.Second
+	settle      = 4 * time.Second
+	betweenMax  = 400
+)
+
+// Options describe a soak.
+type Options struct {
+	Program, Standin string
+	Seed             uint64
+	Length           time.Duration
+	Rate             float64
+}
+
+// soak is a run in progress.
+type soak struct {
+	fleet  *fleet.Fleet
+	rng    *rand.Rand
+	counts map[string]int
+	undo   []func()
+}
+
+// fault is one kind of fault; it returns how to undo it, or nil.
+type fault struct {
+	name   string
+	inject func(ctx context.Context, s *soak) func()
+}
+
+func faults() []fault {
+	return []fault{
+		{"KillHost", killHost},
+		{"FreezeHost", freezeHost},
+		{"StopHost", stopHost},
+		{"CutPeer", cutRoute("-peers")},
+		{"CutPlatform", cutRoute("-platform")},
+		{"SilenceCallers", silenceRoute("-callers")},
+		{"SilencePeers", silenceRoute("-peers")},
+		{"SilenceTarget", silenceTarget},
+		{"CutTarget", cutTarget},
+		{"DropTargetReplies", dropReplies},
+		{"DrainTarget", drainTarget},
+		{"TargetBehaviour", changeTarget},
+		{"PlatformOutage", platformFault(platf.Faults{Outage: true})},
+		{"PlatformSlow", platformFault(platf.Faults{DelayMillis: 2000})},
+		{"PlatformLosesReplies", platformFault(platf.Faults{LoseReplies: true})},
+	}
+}
+
+func (s *soak) host() *fleet.Host {
+	return s.fleet.Hosts[s.rng.IntN(len(s.fleet.Hosts))]
+}
+
+func (s *soak) target() *fleet.Target {
+	return s.fleet.Targets[s.rng.IntN(len(s.fleet.Targets))]
+}
+
+func killHost(_ context.Context, s *soak) func() {
+	h := s.host()
+	h.Kill()
+	return func() { _ = h.Start() }
+}
+
+func freezeHost(_ context.Context, s *soak) func() {
+	h := s.host()
+	h.Signal(syscall.SIGSTOP)
+	return func() { h.Signal(syscall.SIGCONT) }
+}
+
+func stopHost(_ context.Context, s *soak) func() {
+	h := s.host()
+	h.Signal(syscall.SIGTERM)
+	return func() {
+		h.Stop()
+		_ = h.Start()
+	}
+}
+
+func cutRoute(suffix string) func(context.Context, *soak) func() {
+	return func(ctx context.Context, s *soak) func() {
+		return s.tamper(ctx, tamper.Action{Route: s.host().Name + suffix, Cut: true})
+	}
+}
+
+func silenceRoute(suffix string) func(context.Context, *soak) func() {
+	return func(ctx context.Context, s *soak) func() {
+		return s.tamper(ctx, tamper.Action{Route: s.host().Name + suffix, Silence: true})
+	}
+}
+
+func silenceTarget(ctx context.Context, s *soak) func() {
+	return s.tamper(ctx, tamper.Action{Route: s.target().Name, Silence: true})
+}
+
+func cutTarget(ctx context.Context, s *soak) func() {
+	return s.tamper(ctx, tamper.Action{Route: s.target().Name, Cut: true})
+}
+
+func dropReplies(ctx context.Context, s *soak) func() {
+	return s.tamper(ctx, tamper.Action{Route: s.target().Name, DropReplies: true})
+}
+
+func (s *soak) tamper(ctx context.Context, action tamper.Action) func() {
+	_ = s.fleet.Tamper(ctx, action)
+	return func() { _ = s.fleet.Tamper(ctx, tamper.Action{Route: action.Route}) }
+}
+
+func drainTarget(ctx context.Context, s *soak) func() {
+	t := s.target()
+	row := plat.Host{Name: t.Name, Role: plat.RoleTarget, Service: t.Service, Address: t.Address, FailureDomain: t.Domain, State: plat.StateLeaving}
+	_ = s.fleet.SetHosts(ctx, []plat.Host{row})
+	return func() {
+		row.State = plat.StateLive
+		_ = s.fleet.SetHosts(ctx, []plat.Host{row})
+	}
+}
+
+func changeTarget(ctx context.Context, s *soak) func() {
+	behaviours := []server.Behaviour{
+		{FailFast: true}, {Draining: true}, {RefuseNew: true}, {LieZero: true}, {CutAfterRun: true}, {CutBody: true}, {EndByClose: true},
+	}
+	t := s.target()
+	_ = s.fleet.Behave(ctx, t, &behaviours[s.rng.IntN(len(behaviours))])
+	return func() { _ = s.fleet.Behave(ctx, t, &server.Behaviour{}) }
+}
+
+func platformFault(faults platf.Faults) func(context.Context, *soak) func() {
+	return func(ctx context.Context, s *soak) func() {
+		_ = fleet.Post(ctx, s.fleet.Platform, "/control", faults)
+		return func() { _ = fleet.Post(ctx, s.fleet.Platform, "/control", platf.Faults{}) }
+	}
+}
+
+// Run soaks a fleet and returns an error if a promise was broken.
+func Run(ctx context.Context, o *Options, out io.Writer) error {
+	dir, err := os.MkdirTemp("", "curranttiller-soak-")
+	if err != nil {
+		return eris.Wrap(err, "making a folder for the soak")
+	}
+	f, err := fleet.Start(ctx, &fleet.Options{
+		Program: o.Program, Standin: o.Standin, Dir: dir, Hosts: hosts, Domains: 3, Retention: time.Hour, ListLag: 100 * time.Millisecond,
+		Settings: "\n[Membership]\nHeartbeatMillis = 100\nFailAfterMillis = 1500\n",
+		Services: []fleet.Service{{Name: serviceName, Targets: targets, Slots: slots, Document: "[Steering]\nDirectoryHoldMillis = 500\n"}},
+	})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := f.PublishAll(ctx); err != nil {
+		return err
+	}
+	s := &soak{fleet: f, rng: rand.New(rand.NewPCG(o.Seed, 7)), counts: make(map[string]int)}
+	result := s.run(ctx, o)
+	if err := s.check(ctx, result, out); err != nil {
+		return eris.Wrapf(err, "seed %d, logs in %s", o.Seed, dir)
+	}
+	return eris.Wrap(os.RemoveAll(dir), "removing the folder of the soak")
+}
+
+func (s *soak) run(ctx context.Context, o *Options) *load.Result {
+	client := caller.New(caller.Settings{Entries: s.fleet.Entries(), Timeout: timeout, Seed: o.Seed})
+	defer client.Close()
+	plan := &load.Plan{
+		Service: serviceName, Rate: o.Rate, Length: o.Length, Reads: 0.4, MeanWork: meanWork, Timeout: timeout, Seed: o.Seed,
+	}
+	session := load.Start(ctx, client, plan, time.Now())
+	until := time.Now().Add(o.Length - settle)
+	kinds := faults()
+	for time.Now().Before(until) {
+		kind := kinds[s.rng.IntN(len(kinds))]
+		s.counts[kind.name]++
+		if undo := kind.inject(ctx, s); undo != nil {
+			s.undo = append(s.undo, undo)
+		}
+		s.pause()
+		// A few faults are in force together; the oldest ends first.
+		for len(s.undo) > s.rng.IntN(4) {
+			s.undoOldest()
+		}
+	}
+	for len(s.undo) > 0 {
+		s.undoOldest()
+	}
+	return session.Wait()
+}
+
+func (s *soak) undoOldest() {
+	s.undo[0]()
+	s.undo = s.undo[1:]
+}
+
+// pause lets a fault last for a while that the seed decides.
+func (s *soak) pause() {
+	time.Sleep(time.Duration(50+s.rng.IntN(betweenMax)) * time.Millisecond)
+}
+
+func (s *soak) check(ctx context.Context, result *load.Result, out io.Writer) error {
+	runs, err := load.CollectRuns(ctx, s.fleet.TargetAddresses(""))
+	if err != nil {
+		return err
+	}
+	result.Count(runs)
+	for _, kind := range faults() {
+		fmt.Fprintf(out, "%-22s %d\n", kind.name, s.counts[kind.name])
+	}
+	t := &result.Totals
+	fmt.Fprintf(out, "%d requests: %d answered, %d not run, %d may have run, %d failed; submitted again %d\n",
+		t.Requests, t.Answered, t.NotRun, t.MayHave, t.Failed, t.Resubmits)
+	fmt.Fprintf(out, "wrong or cut answers taken as whole %d, run twice %d, called not run but ran %d, called ran but did not %d, without an outcome %d\n",
+		t.Wrong, t.RanTwice, t.FalseNot, t.FalseRan, t.Requests-t.Answered-t.NotRun-t.MayHave-t.Failed)
+	for reason, count := range result.Reasons() {
+		fmt.Fprintf(out, "  %-40s %d\n", reason, count)
+	}
+	if t.Bad() {
+		return eris.New("a promise was broken")
+	}
+	return nil
+}
