--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 	buf generate proto
 
 bench: build
+	./bin/standin overhead --program ./bin/curranttiller --out out
 	./bin/standin bench --program ./bin/curranttiller --out out
 
 report: build
--- a/internal/cmds/entry.go
+++ b/internal/cmds/entry.go
@@ -71,7 +71,7 @@
 	limits := front.Limits{Deadline: settings.DeadlineAtMost, BodyBytes: int64(settings.BodyBytesAtMost)}
 	opened := &doors{
 		callers: front.NewServer(daemon, limits, loggers.For("front")),
-		peers:   peer.NewServer(daemon),
+		peers:   peer.NewServer(daemon, daemon.ControlBytes()),
 		admin:   admin.NewServer(settings.Name, entry.Door{Daemon: daemon}, settings.Pprof == "On"),
 	}
 	callers, err := front.Listen(ctx, settings.CallerAddress)
--- a/internal/cmds/publish.go
+++ b/internal/cmds/publish.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -84,7 +85,7 @@
 }
 
 func (p *publishing) propose(ctx context.Context, record *ledger.Record) int {
-	client := plat.NewClient(p.platform)
+	client := plat.NewClient(p.platform, new(atomic.Int64))
 	defer client.Close()
 	reader, err := p.startReader(ctx)
 	if err != nil {
--- a/internal/cmds/recover.go
+++ b/internal/cmds/recover.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"fmt"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"gitlab.com/curranttiller/curranttiller/internal/admin"
@@ -54,7 +55,7 @@
 }
 
 func (p *publishing) appendIndex(ctx context.Context, newest map[string]uint64) int {
-	client := plat.NewClient(p.platform)
+	client := plat.NewClient(p.platform, new(atomic.Int64))
 	defer client.Close()
 	reply, err := client.Read(ctx, plat.StreamDocuments, 1, 0)
 	if err != nil {
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -37,6 +37,7 @@
 	events      *event.Ring
 	metrics     *metrics.Set
 	counters    counters
+	control     *atomic.Int64
 	platform    *plat.Client
 	peers       *peer.Pool
 
@@ -71,6 +72,7 @@
 func New(settings *config.Settings, loggers *logs.Set, now time.Time) *Daemon {
 	incarnation := uint64(now.UnixNano())
 	ctx, cancel := context.WithCancel(context.Background())
+	control := new(atomic.Int64)
 	d := &Daemon{
 		settings:    *settings,
 		incarnation: incarnation,
@@ -79,8 +81,9 @@
 		peerLog:     loggers.For("peer"),
 		events:      event.NewRing(settings.Name, incarnation, settings.EventsKept, time.Now),
 		metrics:     metrics.NewSet(),
-		platform:    plat.NewClient(settings.Platform),
-		peers:       peer.NewPool(),
+		control:     control,
+		platform:    plat.NewClient(settings.Platform, control),
+		peers:       peer.NewPool(control),
 		reader:      ledger.New(validateDocument),
 		restater:    ledger.NewRestater(settings.LogRetention, now),
 		services:    make(map[string]*service),
@@ -90,6 +93,7 @@
 		cancel:      cancel,
 	}
 	d.counters = newCounters(d.metrics)
+	d.metrics.NewGauge("curranttiller_control_bytes", func() float64 { return float64(control.Load()) })
 	d.members = member.New(d.selfInfo(), member.Timing{
 		FailAfter:   settings.FailAfter,
 		ForgetAfter: forgetFactor * settings.FailAfter,
@@ -182,6 +186,11 @@
 	return d.events.Events(filter)
 }
 
+// ControlBytes counts the bytes of control traffic, both ways.
+func (d *Daemon) ControlBytes() *atomic.Int64 {
+	return d.control
+}
+
 // Metrics returns the daemon's metrics.
 func (d *Daemon) Metrics() *metrics.Set {
 	return d.metrics
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -34,11 +35,13 @@
 type Pool struct {
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
+	// control counts the bytes of control calls.
+	control *atomic.Int64
 }
 
-// NewPool returns a pool without connections.
-func NewPool() *Pool {
-	return &Pool{conns: make(map[string]*grpc.ClientConn)}
+// NewPool returns a pool without connections; control counts the bytes of control calls.
+func NewPool(control *atomic.Int64) *Pool {
+	return &Pool{conns: make(map[string]*grpc.ClientConn), control: control}
 }
 
 // Close closes every connection.
@@ -82,6 +85,7 @@
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepAliveTime, Timeout: keepAliveWait}),
+		grpc.WithStatsHandler(byteCounter{p.control}),
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithNoProxy(),
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -20,17 +20,6 @@
 	Members          []member.Info
 	DocumentsThrough uint64
 	Sent             time.Time
-	Reports          []Report
-}
-
-// Report is a measurement of one target that another host made.
-type Report struct {
-	Service string
-	Target  string
-	Running int
-	Waiting int
-	Healthy bool
-	Age     time.Duration
 }
 
 // Documents is a host's claim about the documents in force, with the texts that the asker lacked.
@@ -51,9 +40,6 @@
 	for i := range h.Members {
 		m.Members = append(m.Members, memberToWire(&h.Members[i]))
 	}
-	for _, r := range h.Reports {
-		m.Reports = append(m.Reports, reportToWire(r))
-	}
 	return m
 }
 
@@ -67,9 +53,6 @@
 	for _, row := range m.GetMembers() {
 		h.Members = append(h.Members, memberFromWire(row))
 	}
-	for _, r := range m.GetReports() {
-		h.Reports = append(h.Reports, reportFromWire(r))
-	}
 	return h
 }
 
@@ -87,20 +70,6 @@
 	}
 }
 
-func reportToWire(r Report) *peerpb.Report {
-	return &peerpb.Report{
-		Service: r.Service, Target: r.Target, Running: uint32(max(r.Running, 0)), Waiting: uint32(max(r.Waiting, 0)),
-		Healthy: r.Healthy, AgeMillis: uint32(min(r.Age.Milliseconds(), time.Hour.Milliseconds())),
-	}
-}
-
-func reportFromWire(r *peerpb.Report) Report {
-	return Report{
-		Service: r.GetService(), Target: r.GetTarget(), Running: int(r.GetRunning()), Waiting: int(r.GetWaiting()),
-		Healthy: r.GetHealthy(), Age: time.Duration(r.GetAgeMillis()) * time.Millisecond,
-	}
-}
-
 func versionsToWire(versions []ledger.Version, texts map[ledger.Version]ledger.Document) []*peerpb.DocumentVersion {
 	wire := make([]*peerpb.DocumentVersion, 0, len(versions))
 	for _, v := range versions {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -46,11 +47,12 @@
 	done    sync.WaitGroup
 }
 
-// NewServer returns a server for a handler.
-func NewServer(handler Handler) *Server {
+// NewServer returns a server for a handler; control counts the bytes of control calls.
+func NewServer(handler Handler, control *atomic.Int64) *Server {
 	s := &Server{handler: handler}
 	s.grpc = grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.StatsHandler(byteCounter{control}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepAliveTime, Timeout: keepAliveWait}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepAliveLeast, PermitWithoutStream: true}),
 	)
--- a/internal/plat/client.go
+++ b/internal/plat/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -21,14 +22,18 @@
 
 // Client talks to the platform; it is safe for concurrent use.
 type Client struct {
-	base string
-	http *http.Client
+	base    string
+	http    *http.Client
+	control *atomic.Int64
 }
 
-// NewClient returns a client of the platform at an address such as 127.0.0.1:7000.
-func NewClient(address string) *Client {
+// headBytes is what the heads of a request and its reply take, roughly.
+const headBytes = 300
+
+// NewClient returns a client of the platform at an address such as 127.0.0.1:7000; control counts its bytes.
+func NewClient(address string, control *atomic.Int64) *Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout}
-	return &Client{base: "http://" + address, http: &http.Client{Transport: transport}}
+	return &Client{base: "http://" + address, http: &http.Client{Transport: transport}, control: control}
 }
 
 // Close drops the idle connections.
@@ -78,6 +83,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	c.control.Add(int64(len(body) + len(text) + headBytes))
 	if err != nil {
 		return eris.Wrapf(err, "reading the platform's reply to %s %s", method, path)
 	}
--- a/internal/scenes/scenes_test.go
+++ b/internal/scenes/scenes_test.go
@@ -30,6 +30,8 @@
 	serviceName  = "reservas"
 	awaitTimeout = 20 * time.Second
 	pollPeriod   = 20 * time.Millisecond
+	// budgetWindow is the window of the document in the scene budget, in ms.
+	budgetWindow = 4000
 	fastSettings = "\n[Membership]\nHeartbeatMillis = 100\nFailAfterMillis = 1500\n"
 	fastDocument = "[Steering]\nDirectoryHoldMillis = 500\n"
 )
@@ -407,6 +409,7 @@
 		sum["Probes"] += float64(stats.Probes)
 		sum["Runs"] += float64(stats.Runs)
 		sum["Requests"] += float64(stats.Requests)
+		sum["WorstWindow"] = max(sum["WorstWindow"], float64(worstWindow(stats.ProbeUnixMillis, budgetWindow)))
 		sum["MostConnections"] = max(sum["MostConnections"], float64(stats.MostConnections))
 	}
 	for _, condition := range args[1:] {
@@ -421,6 +424,21 @@
 	}
 }
 
+// worstWindow is the largest number of probes in any window of a length in ms.
+func worstWindow(times []int64, window int64) int {
+	worst := 0
+	for i := range times {
+		count := 0
+		for _, at := range times[i:] {
+			if at-times[i] < window {
+				count++
+			}
+		}
+		worst = max(worst, count)
+	}
+	return worst
+}
+
 // cmdAwait waits for a state: await members 2, await version 3 entry1 entry2, await ready entry1,
 // await gone HOLDER (out of callers' answers), await state reservas1 Draining
 func cmdAwait(ts *testscript.TestScript, neg bool, args []string) {
--- /dev/null
+++ b/internal/stand/bench/report.go
@@ -0,0 +1,105 @@
+package bench
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+
+	"github.com/rotisserie/eris"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgimg"
+)
+
+const (
+	pageColumns = 2
+	cellWidth   = 16 * vg.Centimeter
+	cellHeight  = 8 * vg.Centimeter
+)
+
+// Report draws the p99 of every policy over time, one panel a condition, into report.png.
+func Report(folder string) error {
+	text, err := os.ReadFile(filepath.Join(folder, "bench.json"))
+	if err != nil {
+		return eris.Wrap(err, "reading results; run make bench first")
+	}
+	var rows []Row
+	if err := json.Unmarshal(text, &rows); err != nil {
+		return eris.Wrap(err, "decoding results")
+	}
+	panels, err := drawPanels(rows)
+	if err != nil {
+		return err
+	}
+	return writePage(filepath.Join(folder, "report.png"), panels)
+}
+
+// drawPanels draws one panel for each condition, in the order of the rows.
+func drawPanels(rows []Row) ([]*plot.Plot, error) {
+	var panels []*plot.Plot
+	for start := 0; start < len(rows); {
+		end := start
+		for end < len(rows) && rows[end].Condition == rows[start].Condition {
+			end++
+		}
+		panel, err := drawPanel(rows[start:end])
+		if err != nil {
+			return nil, err
+		}
+		panels = append(panels, panel)
+		start = end
+	}
+	return panels, nil
+}
+
+func drawPanel(rows []Row) (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text = rows[0].Condition
+	p.X.Label.Text = "time [s]; a fault or jump comes after a third"
+	p.Y.Label.Text = "p99 of 100 ms [ms]"
+	p.Y.Scale = plot.LogScale{}
+	p.Y.Tick.Marker = plot.LogTicks{Prec: -1}
+	p.Legend.Top = true
+	for i := range rows {
+		line, err := plotter.NewLine(points(&rows[i]))
+		if err != nil {
+			return nil, eris.Wrap(err, "drawing a line")
+		}
+		line.Color = plotutil.Color(i)
+		p.Add(line)
+		p.Legend.Add(rows[i].Policy, line)
+	}
+	ideal := plotter.NewFunction(func(float64) float64 { return rows[0].IdealP99 })
+	ideal.Dashes = plotutil.Dashes(1)
+	p.Add(ideal)
+	p.Legend.Add("central queue, whole run", ideal)
+	return p, nil
+}
+
+func points(r *Row) plotter.XYs {
+	xys := make(plotter.XYs, 0, len(r.Series))
+	for i, y := range r.Series {
+		xys = append(xys, plotter.XY{X: float64(i) * seriesWindow.Seconds(), Y: max(y, 1)})
+	}
+	return xys
+}
+
+func writePage(path string, panels []*plot.Plot) error {
+	lines := (len(panels) + pageColumns - 1) / pageColumns
+	canvas := vgimg.New(pageColumns*cellWidth, vg.Length(lines)*cellHeight)
+	tiles := draw.Tiles{Rows: lines, Cols: pageColumns}
+	whole := draw.New(canvas)
+	for i, panel := range panels {
+		panel.Draw(tiles.At(whole, i%pageColumns, i/pageColumns))
+	}
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
+	if err != nil {
+		return eris.Wrap(err, "creating the report")
+	}
+	defer func() { _ = file.Close() }()
+	_, err = vgimg.PngCanvas{Canvas: canvas}.WriteTo(file)
+	return eris.Wrap(err, "writing the report")
+}
--- a/internal/stand/cmds/app.go
+++ b/internal/stand/cmds/app.go
@@ -17,6 +17,7 @@
 	"gitlab.com/curranttiller/curranttiller/internal/stand/demo"
 	"gitlab.com/curranttiller/curranttiller/internal/stand/fleet"
 	"gitlab.com/curranttiller/curranttiller/internal/stand/platf"
+	"gitlab.com/curranttiller/curranttiller/internal/stand/scale"
 	"gitlab.com/curranttiller/curranttiller/internal/stand/server"
 	"gitlab.com/curranttiller/curranttiller/internal/stand/soak"
 	"gitlab.com/curranttiller/curranttiller/internal/stand/tamper"
@@ -54,6 +55,9 @@
 		{demoCommand(o), o.runDemo},
 		{benchCommand(o), o.runBench},
 		{soakCommand(o), o.runSoak},
+		{scaleCommand(o), o.runScale},
+		{overheadCommand(o), o.runOverhead},
+		{reportCommand(o), o.runReport},
 	}
 	for _, c := range commands {
 		parser.AttachSubcommand(c.sub, 1)
@@ -236,3 +240,42 @@
 		Program: o.program, Standin: self, Seed: uint64(o.seed), Length: time.Duration(o.seconds) * time.Second, Rate: float64(o.rate),
 	}, os.Stdout)
 }
+
+func scaleCommand(o *options) *flaggy.Subcommand {
+	sub := newCommand("scale", "Measures what control costs a daemon at several sizes.")
+	sub.String(&o.program, "", "program", "path of the curranttiller binary")
+	return sub
+}
+
+func (o *options) runScale(ctx context.Context) error {
+	self, err := os.Executable()
+	if err != nil {
+		return eris.Wrap(err, "finding the own binary")
+	}
+	return scale.Run(ctx, o.program, self, os.Stdout)
+}
+
+func reportCommand(o *options) *flaggy.Subcommand {
+	sub := newCommand("report", "Draws the results of bench as one page.")
+	sub.String(&o.out, "", "out", "folder of the results and the page")
+	return sub
+}
+
+func (o *options) runReport(context.Context) error {
+	return bench.Report(o.out)
+}
+
+func overheadCommand(o *options) *flaggy.Subcommand {
+	sub := newCommand("overhead", "Measures what one entry host adds to a call, and calls a second per core.")
+	sub.String(&o.program, "", "program", "path of the curranttiller binary")
+	sub.String(&o.out, "", "out", "folder for the profile")
+	return sub
+}
+
+func (o *options) runOverhead(ctx context.Context) error {
+	self, err := os.Executable()
+	if err != nil {
+		return eris.Wrap(err, "finding the own binary")
+	}
+	return scale.Overhead(ctx, o.program, self, o.out, os.Stdout)
+}
--- /dev/null
+++ b/internal/stand/scale/doc.go
@@ -0,0 +1,2 @@
+// Package scale measures what control costs a daemon at several sizes, for docs/CAPACITY.md.
+package scale
--- /dev/null
+++ b/internal/stand/scale/overhead.go
@@ -0,0 +1,161 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rotisserie/eris"
+
+	"gitlab.com/curranttiller/curranttiller/internal/stand/fleet"
+	"gitlab.com/curranttiller/curranttiller/internal/stand/server"
+)
+
+const (
+	overheadRate    = 1000
+	overheadTime    = 10 * time.Second
+	overheadSlots   = 64
+	overheadTargets = 4
+	overheadWork    = 0
+	saturateTime    = 5 * time.Second
+	saturateWorkers = 64
+	highestMicros   = 10_000_000
+	profileSeconds  = 4
+)
+
+// Overhead measures what one entry host adds to a call, and how many calls a second a core carries.
+func Overhead(ctx context.Context, program, standin, folder string, out io.Writer) error {
+	dir, err := os.MkdirTemp("", "curranttiller-overhead-")
+	if err != nil {
+		return eris.Wrap(err, "making a folder")
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	f, err := fleet.Start(ctx, &fleet.Options{
+		Program: program, Standin: standin, Dir: dir, Hosts: 1, Domains: 1, IsDirect: true, Retention: time.Hour,
+		Settings: "\n[Observability]\nPprof = On\n",
+		Services: []fleet.Service{{
+			Name: "reservas", Targets: overheadTargets, Slots: overheadSlots,
+			Document: "[Limits]\nConnectionsPerTarget = 4000\nEntryHostsAtMost = 40\n[Retries]\nHedgeQuantile = 1\n",
+		}},
+	})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := f.PublishAll(ctx); err != nil {
+		return err
+	}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2 * saturateWorkers}}
+	direct := "http://" + f.Targets[0].Direct + "/x"
+	through := "http://" + f.Hosts[0].Caller + "/svc/reservas/x"
+	// Both ways take turns in one run, so that they see the same machine.
+	ways := pace(ctx, client, []string{direct, through})
+	for i, name := range []string{"direct to a target", "through an entry host"} {
+		fmt.Fprintf(out, "%-22s p50 %.3f ms   p99 %.3f ms\n", name, milli(ways[i], 50), milli(ways[i], 99))
+	}
+	fmt.Fprintf(out, "added                  p50 %.3f ms   p99 %.3f ms\n",
+		milli(ways[1], 50)-milli(ways[0], 50), milli(ways[1], 99)-milli(ways[0], 99))
+	return saturate(ctx, client, f, through, folder, out)
+}
+
+func milli(h *hdrhistogram.Histogram, quantile float64) float64 {
+	return float64(h.ValueAtQuantile(quantile)) / float64(time.Millisecond/time.Microsecond)
+}
+
+func pace(ctx context.Context, client *http.Client, urls []string) []*hdrhistogram.Histogram {
+	histograms := make([]*hdrhistogram.Histogram, len(urls))
+	for i := range histograms {
+		histograms[i] = hdrhistogram.New(1, highestMicros, 3)
+	}
+	var mu sync.Mutex
+	var sending sync.WaitGroup
+	start := time.Now()
+	for n := range int(overheadRate * overheadTime.Seconds()) {
+		time.Sleep(time.Until(start.Add(time.Duration(n) * time.Second / overheadRate)))
+		way := n % len(urls)
+		sending.Go(func() {
+			sent := time.Now()
+			if get(ctx, client, urls[way], overheadWork) == nil {
+				mu.Lock()
+				defer mu.Unlock()
+				_ = histograms[way].RecordValue(time.Since(sent).Microseconds())
+			}
+		})
+	}
+	sending.Wait()
+	return histograms
+}
+
+func get(ctx context.Context, client *http.Client, url string, work time.Duration) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return err
+	}
+	request.Header.Set(server.WorkMicros, strconv.FormatInt(work.Microseconds(), 10))
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err
+}
+
+// saturate sends as much as fits and relates it to the processor time of the entry host.
+func saturate(ctx context.Context, client *http.Client, f *fleet.Fleet, url, folder string, out io.Writer) error {
+	ctx, cancel := context.WithTimeout(ctx, saturateTime)
+	defer cancel()
+	before := cpuSeconds(f.Hosts[0].PID())
+	started := time.Now()
+	var mu sync.Mutex
+	count := 0
+	var sending sync.WaitGroup
+	for range saturateWorkers {
+		sending.Go(func() {
+			own := 0
+			for get(ctx, client, url, 0) == nil {
+				own++
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			count += own
+		})
+	}
+	saved := saveProfile(f.Hosts[0].Admin, folder)
+	sending.Wait()
+	seconds := time.Since(started).Seconds()
+	cores := (cpuSeconds(f.Hosts[0].PID()) - before) / seconds
+	fmt.Fprintf(out, "saturated: %.0f calls a second with %.2f cores of the entry host (%d in the machine): %.0f calls a second per core\n",
+		float64(count)/seconds, cores, runtime.NumCPU(), float64(count)/seconds/cores)
+	return saved
+}
+
+// saveProfile keeps a processor profile of the entry host under load.
+func saveProfile(address, folder string) error {
+	if err := os.MkdirAll(folder, 0o750); err != nil {
+		return eris.Wrap(err, "making the folder for results")
+	}
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet,
+		fmt.Sprintf("http://%s/debug/pprof/profile?seconds=%d", address, profileSeconds), http.NoBody)
+	if err != nil {
+		return eris.Wrap(err, "asking for a profile")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return eris.Wrap(err, "asking for a profile")
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return eris.Wrap(err, "reading a profile")
+	}
+	return eris.Wrap(os.WriteFile(filepath.Join(folder, "entry.pprof"), text, 0o600), "writing a profile")
+}
--- /dev/null
+++ b/internal/stand/scale/scale.go
@@ -0,0 +1,301 @@
+package scale
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"gitlab.com/curranttiller/curranttiller/internal/admin"
+	"gitlab.com/curranttiller/curranttiller/internal/plat"
+	"gitlab.com/curranttiller/curranttiller/internal/stand/fleet"
+	"gitlab.com/curranttiller/curranttiller/internal/stand/load"
+	"gitlab.com/curranttiller/curranttiller/pkg/ledger"
+)
+
+const (
+	realTargets   = 20
+	slots         = 4
+	settleTime    = 8 * time.Second
+	measureTime   = 10 * time.Second
+	changeCount   = 20
+	pollPeriod    = 5 * time.Millisecond
+	awaitTimeout  = 30 * time.Second
+	ticksASecond  = 100
+	kibi          = 1024
+	percentFactor = 100
+)
+
+// size is one system that is measured.
+type size struct {
+	hosts, services, targets int
+}
+
+func sizes() []size {
+	return []size{{13, 4, 60}, {13, 130, 60}, {13, 130, 920}, {26, 4, 60}, {26, 130, 920}, {40, 130, 920}}
+}
+
+// Run measures every size and prints a row for each.
+func Run(ctx context.Context, program, standin string, out io.Writer) error {
+	const columns = "%6s %9s %8s %10s %10s %9s %9s %12s %12s %12s %14s\n"
+	fmt.Fprintf(out, columns, "Hosts", "Services", "Targets", "CPU%mean", "CPU%most", "RSS.MB", "RSS.most", "Bytes/s", "Bytes/s.most", "ChangeP50ms", "ChangeMost.ms")
+	for _, s := range sizes() {
+		m, err := measure(ctx, s, program, standin)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, columns, fmt.Sprint(s.hosts), fmt.Sprint(s.services), fmt.Sprint(s.targets),
+			digits(mean(m.cpu)), digits(slices.Max(m.cpu)), digits(mean(m.rss)), digits(slices.Max(m.rss)),
+			digits(mean(m.bytes)), digits(slices.Max(m.bytes)), digits(median(m.changes)), digits(slices.Max(m.changes)))
+		fmt.Fprintf(out, "       start of a fresh host: ready after %.0f ms, %.0f bytes of control traffic until then and the next second; document change: %.0f bytes a host\n",
+			m.readyMillis, m.startBytes, m.changeBytes)
+	}
+	return nil
+}
+
+func digits(f float64) string {
+	return strconv.FormatFloat(f, 'f', 2, 64)
+}
+
+func mean(values []float64) float64 {
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return sum / float64(len(values))
+}
+
+func median(values []float64) float64 {
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[len(sorted)/2]
+}
+
+// measured holds one value a host, but for the changes and the start.
+type measured struct {
+	cpu, rss, bytes []float64
+	// changes are the times in ms from the append of a change until it is in force on every host.
+	changes     []float64
+	changeBytes float64
+	readyMillis float64
+	startBytes  float64
+}
+
+func measure(ctx context.Context, s size, program, standin string) (*measured, error) {
+	dir, err := os.MkdirTemp("", "curranttiller-scale-")
+	if err != nil {
+		return nil, eris.Wrap(err, "making a folder")
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	f, err := fleet.Start(ctx, &fleet.Options{
+		Program: program, Standin: standin, Dir: dir, Hosts: s.hosts, Domains: 7, IsDirect: true,
+		Settings: "", Retention: time.Hour, ListLag: 100 * time.Millisecond,
+		Services: []fleet.Service{{Name: "real", Targets: realTargets, Slots: slots}},
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	client := plat.NewClient(f.Platform, new(atomic.Int64))
+	defer client.Close()
+	if err := fill(ctx, f, client, s); err != nil {
+		return nil, err
+	}
+	time.Sleep(settleTime)
+	m := &measured{}
+	if err := m.measureIdle(ctx, f); err != nil {
+		return nil, err
+	}
+	if err := m.measureChanges(ctx, f, client, s); err != nil {
+		return nil, err
+	}
+	return m, m.measureStart(ctx, f)
+}
+
+// fill publishes the documents and lists the targets, many of which share an address.
+func fill(ctx context.Context, f *fleet.Fleet, client *plat.Client, s size) error {
+	var rows []plat.Host
+	for i := range s.targets {
+		real := f.Targets[i%len(f.Targets)]
+		rows = append(rows, plat.Host{
+			Name: fmt.Sprintf("t%d", i), Role: plat.RoleTarget, Service: serviceName(i % s.services),
+			Address: real.Address, FailureDomain: f.Domain(i), State: plat.StateLive,
+		})
+	}
+	if err := f.SetHosts(ctx, rows); err != nil {
+		return err
+	}
+	for i := range s.services {
+		if _, err := propose(ctx, client, serviceName(i), 0, ""); err != nil {
+			return err
+		}
+	}
+	return await(func() bool {
+		for _, h := range f.Hosts {
+			status, err := load.Fetch[admin.Status](ctx, h.Admin, "/tiller/status")
+			if err != nil || len(status.Services) < s.services {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func serviceName(i int) string {
+	return fmt.Sprintf("service%d", i)
+}
+
+// propose appends a proposal and returns its offset.
+func propose(ctx context.Context, client *plat.Client, service string, base uint64, comment string) (uint64, error) {
+	document := fleet.Service{Name: service, Slots: slots, Document: "# " + comment}
+	record := ledger.Record{Kind: ledger.KindProposal, ID: service, Author: "scale", Service: service, Base: base, Text: document.DocumentText()}
+	encoded, err := record.Encode()
+	if err != nil {
+		return 0, err
+	}
+	return client.Append(ctx, plat.StreamDocuments, encoded)
+}
+
+func await(holds func() bool) error {
+	started := time.Now()
+	for !holds() {
+		if time.Since(started) > awaitTimeout {
+			return eris.New("gave up waiting")
+		}
+		time.Sleep(pollPeriod)
+	}
+	return nil
+}
+
+func (m *measured) measureIdle(ctx context.Context, f *fleet.Fleet) error {
+	cpu := make([]float64, len(f.Hosts))
+	bytes := make([]float64, len(f.Hosts))
+	for i, h := range f.Hosts {
+		cpu[i] = cpuSeconds(h.PID())
+		bytes[i] = controlBytes(ctx, h.Admin)
+	}
+	started := time.Now()
+	time.Sleep(measureTime)
+	seconds := time.Since(started).Seconds()
+	for i, h := range f.Hosts {
+		m.cpu = append(m.cpu, percentFactor*(cpuSeconds(h.PID())-cpu[i])/seconds)
+		m.bytes = append(m.bytes, (controlBytes(ctx, h.Admin)-bytes[i])/seconds)
+		m.rss = append(m.rss, residentMB(h.PID()))
+	}
+	return nil
+}
+
+func (m *measured) measureChanges(ctx context.Context, f *fleet.Fleet, client *plat.Client, s size) error {
+	before := controlBytes(ctx, f.Hosts[0].Admin)
+	started := time.Now()
+	base := make(map[string]uint64)
+	for _, d := range documents(ctx, f.Hosts[0].Admin).Known {
+		base[d.Service] = d.Version
+	}
+	for i := range changeCount {
+		name := serviceName(i % s.services)
+		appended := time.Now()
+		offset, err := propose(ctx, client, name, base[name], fmt.Sprint("change ", i))
+		if err != nil {
+			return err
+		}
+		base[name] = offset
+		if err := awaitVersion(ctx, f, offset); err != nil {
+			return err
+		}
+		m.changes = append(m.changes, float64(time.Since(appended).Microseconds())/1000)
+	}
+	idle := m.bytes[0] * time.Since(started).Seconds()
+	m.changeBytes = max(controlBytes(ctx, f.Hosts[0].Admin)-before-idle, 0) / changeCount
+	return nil
+}
+
+func documents(ctx context.Context, address string) admin.Documents {
+	answer, _ := load.Fetch[admin.Documents](ctx, address, "/tiller/documents")
+	return answer
+}
+
+// awaitVersion waits until every host has read the log through an offset.
+func awaitVersion(ctx context.Context, f *fleet.Fleet, offset uint64) error {
+	left := slices.Clone(f.Hosts)
+	return await(func() bool {
+		left = slices.DeleteFunc(left, func(h *fleet.Host) bool { return documents(ctx, h.Admin).Through >= offset })
+		return len(left) == 0
+	})
+}
+
+// measureStart replaces a host and measures what its start costs.
+func (m *measured) measureStart(ctx context.Context, f *fleet.Fleet) error {
+	h := f.Hosts[len(f.Hosts)-1]
+	h.Kill()
+	started := time.Now()
+	if err := h.Start(); err != nil {
+		return err
+	}
+	err := await(func() bool {
+		status, err := load.Fetch[admin.Status](ctx, h.Admin, "/tiller/status")
+		return err == nil && status.Ready
+	})
+	m.readyMillis = float64(time.Since(started).Milliseconds())
+	time.Sleep(time.Second)
+	m.startBytes = controlBytes(ctx, h.Admin)
+	return err
+}
+
+// cpuSeconds reads the processor time of a process.
+func cpuSeconds(pid int) float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	_, after, _ := strings.Cut(string(text), ") ")
+	fields := strings.Fields(after)
+	const userField, systemField = 11, 12
+	user, _ := strconv.ParseFloat(fields[userField], 64)
+	system, _ := strconv.ParseFloat(fields[systemField], 64)
+	return (user + system) / ticksASecond
+}
+
+// residentMB reads the resident memory of a process.
+func residentMB(pid int) float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(text)) {
+		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "VmRSS:" {
+			kb, _ := strconv.ParseFloat(fields[1], 64)
+			return kb / kibi
+		}
+	}
+	return 0
+}
+
+// controlBytes reads a daemon's count of control traffic.
+func controlBytes(ctx context.Context, address string) float64 {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/metrics", http.NoBody)
+	if err != nil {
+		return 0
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		if value, found := strings.CutPrefix(scanner.Text(), "curranttiller_control_bytes "); found {
+			count, _ := strconv.ParseFloat(value, 64)
+			return count
+		}
+	}
+	return 0
+}
--- a/pkg/choose/pool.go
+++ b/pkg/choose/pool.go
@@ -49,6 +49,7 @@
 	waiting  *queue
 	typical  *typical
 	extra    *budget.Ratio
+	waste    waste
 	rng      *rand.Rand
 	turn     uint64
 	uses     uint64
@@ -213,7 +214,7 @@
 		return Actions{}
 	}
 	target, _ := p.pick(now, r)
-	if target == nil || r.hasTried(target.Name) || target.isEjected(now) || !p.extra.SpendAbove(retryReserve) {
+	if target == nil || r.hasTried(target.Name) || target.isEjected(now) || p.waste.isSpent() || !p.extra.SpendAbove(retryReserve) {
 		return Actions{}
 	}
 	return Actions{Grants: []Grant{p.grant(now, r, target, "hedge of a late answer")}}
@@ -245,6 +246,7 @@
 	if outcome.Report != nil {
 		s.hear(now, *outcome.Report)
 	}
+	p.waste.add(outcome)
 	p.judge(now, s, outcome)
 	return p.dispatch(now)
 }
--- a/pkg/choose/pool_test.go
+++ b/pkg/choose/pool_test.go
@@ -247,6 +247,29 @@
 	is.Equal(p.Views(start)[0].InFlight, 2)
 }
 
+// TestHedgingStopsWhereItOnlyRepeatsWork cancels every hedge's rival after as long a time.
+func TestHedgingStopsWhereItOnlyRepeatsWork(t *testing.T) {
+	is := is.New(t)
+	p := newPool(4)
+	busy, wasted := time.Duration(0), time.Duration(0)
+	now := start
+	for id := uint64(1); id <= 2000; id++ {
+		p.Arrive(now, read(id))
+		hedges := len(p.Hedge(now, id).Grants)
+		now = now.Add(10 * time.Millisecond)
+		p.Finish(now, id, 1, choose.Outcome{Kind: choose.Answered, Latency: 10 * time.Millisecond})
+		busy += 10 * time.Millisecond
+		if hedges > 0 {
+			p.Finish(now, id, 2, choose.Outcome{Kind: choose.Cancelled, Latency: 10 * time.Millisecond})
+			busy += 10 * time.Millisecond
+			wasted += 10 * time.Millisecond
+		}
+		p.Release(now, id)
+	}
+	is.True(wasted > 0)
+	is.True(float64(wasted) <= 0.035*float64(busy)) // the target of 3% and the last hedge
+}
+
 // TestRequestWaitsOnce retries a request that waits already, as a rescue does
 // beside a failed attempt. Its second place in the queue once leaked a slot and
 // filled the channel of its turns, which stopped the whole host.
--- /dev/null
+++ b/pkg/choose/waste.go
@@ -0,0 +1,31 @@
+package choose
+
+import "time"
+
+const (
+	// wasteShare is the largest share of slot time that cancelled attempts may take before hedging stops.
+	wasteShare = 0.03
+	// wasteMemory is how much slot time is remembered; older time counts half, again and again.
+	wasteMemory = 20 * time.Second
+)
+
+// waste follows how much slot time went to attempts that were cancelled. Where
+// long answers are long because of the request, hedges only repeat the work.
+type waste struct {
+	busy, wasted time.Duration
+}
+
+func (w *waste) add(outcome Outcome) {
+	w.busy += outcome.Latency
+	if outcome.Kind == Cancelled {
+		w.wasted += outcome.Latency
+	}
+	if w.busy > wasteMemory {
+		w.busy /= 2
+		w.wasted /= 2
+	}
+}
+
+func (w *waste) isSpent() bool {
+	return float64(w.wasted) > wasteShare*float64(w.busy)
+}
