Prove chains of 13 calls: depth, deadline, bounded retries

Cause: depth and deadline were tested at one hop only. Change: the target stand-in calls on through the system; a scene runs 13 levels, a chain that is too deep, one whose deadline passes halfway, and a failing one. Left: each level may still retry once the failure comes up to it, so the cost grows with the square of the depth.

--- a/internal/scenes/checks_test.go
+++ b/internal/scenes/checks_test.go
@@ -144,7 +144,7 @@
 // submit entry2 POST /x key=HOLDER.k1 work=500 want=200 verdict=Ran replayed=true background=yes
 func cmdSubmit(ts *testscript.TestScript, _ bool, args []string) {
 	s := of(ts)
-	v := values(ts, args[3:], map[string]string{"key": "", "work": "5", "want": "200", "verdict": "Ran", "replayed": "", "deadline": "4000", "reason": "", "bytes": "0", "body": "0", "service": serviceName, "operation": "op", "header": ""})
+	v := values(ts, args[3:], map[string]string{"key": "", "work": "5", "want": "200", "verdict": "Ran", "replayed": "", "deadline": "4000", "reason": "", "bytes": "0", "body": "0", "service": serviceName, "operation": "op", "header": "", "chain": "0"})
 	h := s.host(ts, args[0])
 	request, err := http.NewRequestWithContext(s.ctx, args[1], "http://"+h.Caller+"/svc/"+v["service"]+args[2], strings.NewReader(strings.Repeat("b", int(number(ts, v["body"])))))
 	ts.Check(err)
@@ -152,6 +152,8 @@
 	request.Header.Set(server.WorkMicros, strconv.Itoa(int(1000*number(ts, v["work"]))))
 	request.Header.Set(server.Operation, v["operation"])
 	request.Header.Set(server.AnswerBytes, v["bytes"])
+	request.Header.Set(server.Chain, v["chain"])
+	request.Header.Set(server.ChainURL, "http://"+h.Caller+"/svc/"+v["service"]+args[2])
 	request.Header.Set("Tiller-Deadline-Millis", v["deadline"])
 	if name, value, found := strings.Cut(v["header"], ":"); found {
 		request.Header.Set(name, value)
--- a/internal/stand/server/header.go
+++ b/internal/stand/server/header.go
@@ -8,4 +8,8 @@
 	Operation = "Stand-Operation"
 	// AnswerBytes is the length of the answer's padding.
 	AnswerBytes = "Stand-Answer-Bytes"
+	// Chain is how many further calls the target makes through the system before it answers, one inside the other.
+	Chain = "Stand-Chain"
+	// ChainURL is where those calls go.
+	ChainURL = "Stand-Chain-Url"
 )
--- a/internal/stand/server/target.go
+++ b/internal/stand/server/target.go
@@ -197,6 +197,7 @@
 }
 
 func (t *Target) work(w http.ResponseWriter, r *http.Request) {
+	received := time.Now()
 	ctx, cancel := withDeadline(r)
 	defer cancel()
 	body, err := io.Copy(io.Discard, r.Body)
@@ -219,6 +220,11 @@
 	if !finished {
 		return
 	}
+	if status := callNext(r.WithContext(ctx), received); status != http.StatusOK {
+		t.reportHeaders(w)
+		http.Error(w, "a call further down failed", status)
+		return
+	}
 	t.answer(w, r, &behaviour, body)
 }
 
