Do not eject for heavy tails; meet through the platform's list; flush before losers end

Change: slow means five medians and twice the 95th percentile, and slowness ejects at most a fifth of the targets; doubt of a connection follows the tail too. TestHeavyTailsEjectNobody covers it.

--- a/internal/entry/documents.go
+++ b/internal/entry/documents.go
@@ -175,7 +175,7 @@
 }
 
 func (d *Daemon) learnFromSeeds() {
-	d.learnFromAll(d.settings.Peers)
+	d.learnFromAll(d.seeds())
 }
 
 // learnFromMembers asks every other member, and reports whether one of them knew the documents.
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -37,9 +37,24 @@
 	}
 }
 
-// beatSeeds introduces the host to the peers of its settings.
+// seeds lists the peer addresses of hosts to begin with: those of the settings,
+// and those on the platform's list, because the former may all have been replaced.
+func (d *Daemon) seeds() []string {
+	addresses := slices.Clone(d.settings.Peers)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i := range d.hosts {
+		h := &d.hosts[i]
+		if h.Role == plat.RoleEntry && h.State == plat.StateLive && !slices.Contains(addresses, h.Address) {
+			addresses = append(addresses, h.Address)
+		}
+	}
+	return slices.DeleteFunc(addresses, func(a string) bool { return a == d.settings.PeerAdvertised })
+}
+
+// beatSeeds introduces the host to others that it may not know yet.
 func (d *Daemon) beatSeeds() {
-	for _, address := range d.settings.Peers {
+	for _, address := range d.seeds() {
 		d.done.Go(func() { d.beat(d.ctx, address, member.Info{}) })
 	}
 }
@@ -193,8 +208,14 @@
 
 func (d *Daemon) takeHosts(hosts []plat.Host) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	isFirst := d.hosts == nil
 	d.hosts = hosts
+	d.mu.Unlock()
+	if isFirst {
+		d.beatSeeds()
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.recomputeHolding(d.aliveHosts(time.Now()))
 }
 
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -23,8 +23,6 @@
 	answerKeptBytes = 256 << 10
 	// rescueLeast is the shortest wait for a first byte before a connection counts as silent.
 	rescueLeast = 250 * time.Millisecond
-	// rescueTypical is that wait in typical latencies of the service.
-	rescueTypical = 20
 )
 
 // run is one request at this host, from its arrival at the pool to its answer.
@@ -203,7 +201,7 @@
 }
 
 func (r *run) rescueAfter(grant choose.Grant) time.Duration {
-	late := max(rescueLeast, rescueTypical*grant.Typical)
+	late := max(rescueLeast, grant.SilentAfter)
 	return min(late, time.Until(r.request.Deadline)/2)
 }
 
@@ -355,6 +353,10 @@
 		r.running--
 		r.service.finish(r.id, won.attempt, outcomeOf(won))
 	}
+	if r.running > 0 {
+		// The caller need not wait until the attempts that lost are cancelled.
+		_ = http.NewResponseController(w).Flush()
+	}
 	r.note("RequestDone", won.target, http.StatusText(a.Status))
 	r.service.daemon.counters.added.Update((time.Since(r.started) - won.latency).Seconds())
 	return nil
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -124,7 +124,7 @@
 	return &peerpb.ForwardHead{
 		Protocol: Protocol, Service: r.Service, Method: r.Method, Path: r.URI, Headers: headersToWire(r.Header),
 		ContentLength: r.ContentLength, DeadlineMillis: uint32(max(r.Deadline.Sub(now).Milliseconds(), 0)),
-		HomeIncarnation: r.HomeIncarnation, RequestId: r.ID,
+		RequestId: r.ID,
 	}
 }
 
@@ -132,7 +132,7 @@
 	return &route.Request{
 		ID: head.GetRequestId(), Service: head.GetService(), Method: head.GetMethod(), URI: head.GetPath(),
 		Header: headersFromWire(head.GetHeaders()), ContentLength: head.GetContentLength(),
-		Deadline:        now.Add(time.Duration(head.GetDeadlineMillis()) * time.Millisecond),
-		HomeIncarnation: head.GetHomeIncarnation(), Forwarded: true,
+		Deadline:  now.Add(time.Duration(head.GetDeadlineMillis()) * time.Millisecond),
+		Forwarded: true,
 	}
 }
--- a/internal/route/request.go
+++ b/internal/route/request.go
@@ -33,8 +33,6 @@
 	Deadline time.Time
 	// Forwarded requests came from another entry host and are not passed on again.
 	Forwarded bool
-	// HomeIncarnation is the incarnation that a forwarding host believes to be the home, or zero.
-	HomeIncarnation uint64
 }
 
 // IsIdempotent reports whether the request may be sent more than once.
--- a/internal/stand/cmds/app.go
+++ b/internal/stand/cmds/app.go
@@ -25,12 +25,12 @@
 
 // options are the flags of all commands.
 type options struct {
-	listen, control, routes, targets, program   string
-	retentionMillis, listLagMillis, appends     int
-	slots, waiting, probeMillis, connections    int
-	hosts, seconds, repeats, services, perEntry int
-	seed, workMillis, targetCount, rate         int
-	only, policies, out                         string
+	listen, control, routes, targets, program      string
+	retentionMillis, listLagMillis, appends        int
+	slots, waiting, probeMillis, connections       int
+	hosts, seconds, repeats, services, perEntry    int
+	seed, workMillis, targetCount, rate, sizeHosts int
+	only, policies, out                            string
 }
 
 func defaults() *options {
@@ -243,6 +243,7 @@
 
 func scaleCommand(o *options) *flaggy.Subcommand {
 	sub := newCommand("scale", "Measures what control costs a daemon at several sizes.")
+	sub.Int(&o.sizeHosts, "", "hosts", "only sizes with this number of hosts")
 	sub.String(&o.program, "", "program", "path of the curranttiller binary")
 	return sub
 }
@@ -252,7 +253,7 @@
 	if err != nil {
 		return eris.Wrap(err, "finding the own binary")
 	}
-	return scale.Run(ctx, o.program, self, os.Stdout)
+	return scale.Run(ctx, o.program, self, o.sizeHosts, os.Stdout)
 }
 
 func reportCommand(o *options) *flaggy.Subcommand {
--- a/internal/stand/fleet/fleet.go
+++ b/internal/stand/fleet/fleet.go
@@ -50,6 +50,8 @@
 	// Retention and ListLag are those of the platform.
 	Retention time.Duration
 	ListLag   time.Duration
+	// NoSeeds leaves the peers out of the settings, so that hosts meet through the platform's list.
+	NoSeeds bool
 	// HostListPeriod is how often hosts read the list; zero means 200 ms.
 	HostListPeriod time.Duration
 	// IsDirect leaves the proxy out, for measurements.
@@ -110,7 +112,7 @@
 	if err := f.startTargets(ctx); err != nil {
 		return err
 	}
-	if err := f.startHosts(); err != nil {
+	if err := f.startHosts(ctx); err != nil {
 		return err
 	}
 	return f.AwaitMembers(ctx, f.Hosts)
@@ -175,13 +177,14 @@
 	return Post(ctx, f.Platform, "/hosts", hosts)
 }
 
-func (f *Fleet) startHosts() error {
+func (f *Fleet) startHosts(ctx context.Context) error {
 	const perHost = 5
 	addresses, err := FreeAddresses(perHost * f.Options.Hosts)
 	if err != nil {
 		return err
 	}
 	var routes []string
+	var rows []plat.Host
 	for _, t := range f.Targets {
 		routes = append(routes, t.Name+"="+t.Address+">"+t.Direct)
 	}
@@ -209,8 +212,12 @@
 		if err != nil {
 			return err
 		}
+		rows = append(rows, plat.Host{Name: name, Role: plat.RoleEntry, Address: peers[i], FailureDomain: f.Domain(i), State: plat.StateLive})
 		f.Hosts = append(f.Hosts, &Host{Name: name, Caller: own[1], Admin: own[4], Settings: settings})
 	}
+	if err := f.SetHosts(ctx, rows); err != nil {
+		return err
+	}
 	return f.startProxyAndHosts(routes)
 }
 
@@ -242,6 +249,10 @@
 
 func (f *Fleet) writeSettings(name, domain string, own []string, platform string, peers []string) (string, error) {
 	path := filepath.Join(f.Dir, name+".ini")
+	seeds := strings.Join(peers[:min(seedPeers, len(peers))], ",")
+	if f.NoSeeds {
+		seeds = "none"
+	}
 	text := fmt.Sprintf(`[Host]
 Name = %s
 FailureDomain = %s
@@ -259,7 +270,7 @@
 LogRetentionMillis = %d
 HostListPeriodMillis = %d
 %s
-`, name, domain, own[0], own[1], own[2], own[3], own[4], strings.Join(peers[:min(seedPeers, len(peers))], ","),
+`, name, domain, own[0], own[1], own[2], own[3], own[4], seeds,
 		platform, f.Retention.Milliseconds(), cmp.Or(f.HostListPeriod, quickListPeriod).Milliseconds(), f.Settings)
 	return path, eris.Wrap(os.WriteFile(path, []byte(text), 0o600), "writing settings")
 }
--- a/internal/stand/scale/scale.go
+++ b/internal/stand/scale/scale.go
@@ -44,11 +44,14 @@
 	return []size{{13, 4, 60}, {13, 130, 60}, {13, 130, 920}, {26, 4, 60}, {26, 130, 920}, {40, 130, 920}}
 }
 
-// Run measures every size and prints a row for each.
-func Run(ctx context.Context, program, standin string, out io.Writer) error {
+// Run measures every size with a number of hosts, or every size for zero, and prints a row for each.
+func Run(ctx context.Context, program, standin string, hosts int, out io.Writer) error {
 	const columns = "%6s %9s %8s %10s %10s %9s %9s %12s %12s %12s %14s\n"
 	fmt.Fprintf(out, columns, "Hosts", "Services", "Targets", "CPU%mean", "CPU%most", "RSS.MB", "RSS.most", "Bytes/s", "Bytes/s.most", "ChangeP50ms", "ChangeMost.ms")
 	for _, s := range sizes() {
+		if hosts > 0 && s.hosts != hosts {
+			continue
+		}
 		m, err := measure(ctx, s, program, standin)
 		if err != nil {
 			return err
--- a/pkg/choose/pool.go
+++ b/pkg/choose/pool.go
@@ -191,12 +191,12 @@
 	target.used = p.uses
 	r.attempts = append(r.attempts, attempt{target: target, sent: now})
 	return Grant{
-		Request:    r.ID,
-		Target:     target.Name,
-		Attempt:    len(r.attempts),
-		HedgeAfter: p.hedgeAfter(r),
-		Typical:    p.typical.median,
-		Cause:      cause,
+		Request:     r.ID,
+		Target:      target.Name,
+		Attempt:     len(r.attempts),
+		HedgeAfter:  p.hedgeAfter(r),
+		SilentAfter: p.typical.silent(),
+		Cause:       cause,
 	}
 }
 
@@ -284,10 +284,10 @@
 func (p *Pool) judge(now time.Time, s *state, outcome Outcome) {
 	switch outcome.Kind {
 	case Answered:
-		s.answered(now, outcome.Latency, p.typical.median, p.settings.Slots)
+		s.answered(now, outcome.Latency, p.typical.slow(), p.settings.Slots)
 		p.typical.add(now, outcome.Latency)
 		if s.slowInRow >= slowToEject || (s.slowInRow > 0 && s.trial) {
-			p.tryEject(now, s, "slow answers in a row")
+			p.tryEjectSlow(now, s)
 		}
 	case Errored:
 		s.errorsInRow++
@@ -303,6 +303,20 @@
 	}
 }
 
+// tryEjectSlow ejects a slow target unless many are out of use already: then it
+// is the service that is slow.
+func (p *Pool) tryEjectSlow(now time.Time, s *state) {
+	out := 0
+	for _, other := range p.targets {
+		if other.isEjected(now) {
+			out++
+		}
+	}
+	if out*slowShareInverse < len(p.targets) {
+		p.tryEject(now, s, "slow answers in a row")
+	}
+}
+
 // tryEject ejects a target if enough others remain.
 func (p *Pool) tryEject(now time.Time, s *state, cause string) {
 	remaining := 0
--- a/pkg/choose/pool_test.go
+++ b/pkg/choose/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -107,6 +108,29 @@
 	}
 }
 
+// TestHeavyTailsEjectNobody draws answers of which one in ten takes twelve medians.
+// Three of those in a row are common; ejecting for them once cost a third of the capacity.
+func TestHeavyTailsEjectNobody(t *testing.T) {
+	is := is.New(t)
+	p := newPool(5)
+	rng := rand.New(rand.NewPCG(1, 1))
+	now := start
+	for id := uint64(1); id <= 5000; id++ {
+		a := p.Arrive(now, read(id))
+		is.Equal(len(a.Grants), 1)
+		latency := 10 * time.Millisecond
+		if rng.IntN(10) == 0 {
+			latency *= 12
+		}
+		now = now.Add(time.Millisecond)
+		p.Finish(now, id, 1, choose.Outcome{Kind: choose.Answered, Latency: latency})
+		p.Release(now, id)
+	}
+	for _, v := range p.Views(now) {
+		is.True(!v.Ejected)
+	}
+}
+
 func TestLastTargetIsNeverEjected(t *testing.T) {
 	is := is.New(t)
 	p := newPool(1)
--- a/pkg/choose/target.go
+++ b/pkg/choose/target.go
@@ -21,8 +21,8 @@
 	errorsToEject = 3
 	// slowToEject is the number of slow answers in a row that eject a target.
 	slowToEject = 3
-	// slowFactor is how many times the median an answer must take to count as slow.
-	slowFactor = 5
+	// slowShareInverse keeps slowness from ejecting more than a fifth of the targets at a time.
+	slowShareInverse = 5
 	// firstEjection and longestEjection bound the exponential time out of use.
 	firstEjection   = time.Second
 	longestEjection = 30 * time.Second
@@ -150,13 +150,13 @@
 	s.mostOwn = max(s.mostOwn, s.inFlight)
 }
 
-func (s *state) answered(now time.Time, latency, typical time.Duration, slots int) {
+func (s *state) answered(now time.Time, latency, slow time.Duration, slots int) {
 	s.lastLatency = latency
 	s.lastAnswer = now
 	s.heard = now
 	s.errorsInRow = 0
 	s.limit = min(s.limit+1, slots)
-	if typical > 0 && latency > slowFactor*typical {
+	if slow > 0 && latency > slow {
 		s.slowInRow++
 		return
 	}
--- a/pkg/choose/types.go
+++ b/pkg/choose/types.go
@@ -55,8 +55,8 @@
 	Attempt int
 	// HedgeAfter is when to ask for a hedge, counted from now; zero means never.
 	HedgeAfter time.Duration
-	// Typical is the median latency of the service, or zero while it is unknown.
-	Typical time.Duration
+	// SilentAfter is when the connection is to be doubted if there is no answer; zero while the latency of the service is unknown.
+	SilentAfter time.Duration
 	// Cause says why this target was chosen.
 	Cause string
 }
--- a/pkg/choose/typical.go
+++ b/pkg/choose/typical.go
@@ -10,6 +10,13 @@
 	typicalWindow  = 2 * time.Second
 	typicalRefresh = 50 * time.Millisecond
 	typicalSamples = 20
+	tailQuantile   = 95
+	// slowMedians and slowTails are how many medians and tails an answer must take to count as slow.
+	slowMedians = 5
+	slowTails   = 2
+	// silentMedians and silentTails are how many it must take until its connection is doubted.
+	silentMedians  = 20
+	silentTails    = 3
 	lowestLatency  = int64(10 * time.Microsecond / time.Microsecond)
 	highestLatency = int64(time.Minute / time.Microsecond)
 	latencyDigits  = 2
@@ -22,7 +29,9 @@
 	turned        time.Time
 	refreshed     time.Time
 	median, hedge time.Duration
-	mean          time.Duration
+	// tail is the 95th percentile, whatever the hedge quantile.
+	tail time.Duration
+	mean time.Duration
 }
 
 func newTypical(quantile float64, now time.Time) *typical {
@@ -57,5 +66,17 @@
 	}
 	t.median = time.Duration(source.ValueAtQuantile(50)) * time.Microsecond
 	t.mean = time.Duration(source.Mean()) * time.Microsecond
+	t.tail = time.Duration(source.ValueAtQuantile(tailQuantile)) * time.Microsecond
 	t.hedge = time.Duration(source.ValueAtQuantile(100*t.quantile)) * time.Microsecond
 }
+
+// slow is the latency from which an answer counts as slow. It follows the tail
+// too, because in a heavy-tailed service many good answers take several medians.
+func (t *typical) slow() time.Duration {
+	return max(slowMedians*t.median, slowTails*t.tail)
+}
+
+// silent is the latency from which a connection is in doubt.
+func (t *typical) silent() time.Duration {
+	return max(silentMedians*t.median, silentTails*t.tail)
+}
