Pass by a holder that the caller could not reach

Ruled out: a shorter fail time for all, since stalls of 100 ms are common. Change: callers name the host that did not answer (Tiller-Avoid); a host serves such a request itself and tests the connection once.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -53,7 +53,9 @@
 	services  map[string]*service
 	ready     bool
 	leads     map[string]time.Duration
-	recent    []ledger.Outcome
+	// testing holds the peer addresses whose connections are being tested.
+	testing map[string]bool
+	recent  []ledger.Outcome
 
 	keysMu sync.Mutex
 	keys   *settle.Home
@@ -91,6 +93,7 @@
 		restater:    ledger.NewRestater(settings.LogRetention, now),
 		services:    make(map[string]*service),
 		leads:       make(map[string]time.Duration),
+		testing:     make(map[string]bool),
 		joins:       make(map[string]chan struct{}),
 		ctx:         ctx,
 		cancel:      cancel,
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -87,7 +87,7 @@
 	if err != nil {
 		return err
 	}
-	address := d.holderElsewhere(s)
+	address := d.holderElsewhere(s, request.Header.Get(header.Avoid))
 	if address == "" || request.Forwarded {
 		return s.run(ctx, request, w)
 	}
@@ -119,17 +119,24 @@
 	return errors.As(err, &failed) && failed.Verdict == fault.NotRun
 }
 
-// holderElsewhere returns the peer address of a living holder, or nothing if this host is one.
-func (d *Daemon) holderElsewhere(s *service) string {
+// holderElsewhere returns the peer address of a living holder, or nothing if
+// this host is one. A holder that the caller could not reach is passed by and
+// tested, since this host may notice later than the caller.
+func (d *Daemon) holderElsewhere(s *service, avoid string) string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.isHolder(s) || d.draining.Load() {
 		return ""
 	}
 	for _, h := range s.holders {
-		if m, found := d.members.Lookup(time.Now(), h.Name); found {
+		m, found := d.members.Lookup(time.Now(), h.Name)
+		if !found {
+			continue
+		}
+		if h.Name != avoid {
 			return m.PeerAddress
 		}
+		d.done.Go(func() { d.testConnection(m.PeerAddress) })
 	}
 	return ""
 }
@@ -146,6 +153,10 @@
 
 // testConnection drops the connection to a host that does not answer a heartbeat on it.
 func (d *Daemon) testConnection(address string) {
+	if !d.startTest(address) {
+		return
+	}
+	defer d.endTest(address)
 	ctx, cancel := context.WithTimeout(d.ctx, forwardTest)
 	defer cancel()
 	own := d.heartbeat(time.Now())
@@ -156,6 +167,23 @@
 	}
 }
 
+// startTest reports whether no test of a connection runs yet, and notes that one does.
+func (d *Daemon) startTest(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.testing[address] {
+		return false
+	}
+	d.testing[address] = true
+	return true
+}
+
+func (d *Daemon) endTest(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.testing, address)
+}
+
 // failMember takes a host that does not answer out of use until it is heard of again.
 func (d *Daemon) failMember(address string) {
 	now := time.Now()
--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -191,6 +191,23 @@
 	return time.Now().Before(c.suspects[address])
 }
 
+// avoided returns the name of a suspect that the directory prefers to the host in use, or nothing.
+func (c *Client) avoided(service string, used *EntryHost) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.answers[service]
+	if h == nil {
+		return ""
+	}
+	for i := range h.directory.Hosts {
+		listed := &h.directory.Hosts[i]
+		if listed.Name != used.Name && c.isSuspect(listed.Address) {
+			return listed.Name
+		}
+	}
+	return ""
+}
+
 // suspect makes every request avoid a host for a while.
 func (c *Client) suspect(host *EntryHost) {
 	c.mu.Lock()
--- a/pkg/caller/submission.go
+++ b/pkg/caller/submission.go
@@ -268,6 +268,9 @@
 	for name, values := range s.request.Header {
 		outgoing.Header[name] = values
 	}
+	if avoid := s.client.avoided(s.request.Service, host); avoid != "" {
+		outgoing.Header.Set(header.Avoid, avoid)
+	}
 	if key != "" {
 		outgoing.Header.Set(header.IdempotencyKey, key)
 	}
--- a/pkg/header/header.go
+++ b/pkg/header/header.go
@@ -16,6 +16,8 @@
 	Replayed = "Tiller-Replayed"
 	// Retry is "true" on extra attempts; levels below make none of their own for it.
 	Retry = "Tiller-Retry"
+	// Avoid names an entry host that did not answer the caller; a request is not passed on to it.
+	Avoid = "Tiller-Avoid"
 	// Depth counts the entry hosts that a chain of calls has passed.
 	Depth = "Tiller-Depth"
 	// Target names the target that answered.
