Refuse bad input at every door; tables of commands

Cause: malformed host rows went into the pools, an index could claim versions above its own offset, and only three decoders were tested with bad input.

--- a/internal/cmds/app.go
+++ b/internal/cmds/app.go
@@ -61,6 +61,10 @@
 	return flag{name: name, about: about, text: into}
 }
 
+func adminFlag(into *string) flag {
+	return textFlag("admin", into, "", "admin addresses of some entry hosts, separated by commas (required)")
+}
+
 func switchFlag(name string, into *bool, about string) flag {
 	return flag{name: name, about: about, on: into}
 }
--- a/internal/cmds/publish.go
+++ b/internal/cmds/publish.go
@@ -45,7 +45,7 @@
 			textFlag("base", &p.base, "", "version that the new text was made from, as printed by show; 0 for a new service (required)"),
 			textFlag("author", &p.author, os.Getenv("USER"), "who publishes, as named to a refused operator"),
 			textFlag("platform", &p.platform, "", "address of the platform (required)"),
-			textFlag("admin", &p.admins, "", "admin addresses of some entry hosts, separated by commas (required)"),
+			adminFlag(&p.admins),
 			textFlag("wait-millis", &p.wait, "15000", "how long to wait for the outcome, in ms"),
 		},
 		positionals: []positional{{name: "document", about: "INI file with the document", into: &p.path}},
--- a/internal/cmds/recover.go
+++ b/internal/cmds/recover.go
@@ -24,7 +24,7 @@
 		flags: []flag{
 			textFlag("author", &p.author, os.Getenv("USER"), "who recovers, for the record"),
 			textFlag("platform", &p.platform, "", "address of the platform (required)"),
-			textFlag("admin", &p.admins, "", "admin addresses of some entry hosts, separated by commas (required)"),
+			adminFlag(&p.admins),
 		},
 		run: func(s streams) int {
 			p.streams = s
--- a/internal/cmds/show.go
+++ b/internal/cmds/show.go
@@ -16,7 +16,7 @@
 		name:  "show",
 		about: "Shows the documents in force and their versions, per entry host.",
 		flags: []flag{
-			textFlag("admin", &admins, "", "admin addresses of some entry hosts, separated by commas (required)"),
+			adminFlag(&admins),
 			textFlag("service", &service, "", "only this service"),
 			switchFlag("text", &withText, "print the text of the document as the first host knows it"),
 			switchFlag("json", &asJSON, "print JSON"),
--- a/internal/cmds/status.go
+++ b/internal/cmds/status.go
@@ -15,7 +15,7 @@
 		about:  "Shows the hosts, and the targets of each service as their holder sees them.",
 		detail: "A target that is not InUse is printed with the cause.",
 		flags: []flag{
-			textFlag("admin", &admins, "", "admin addresses of some entry hosts, separated by commas (required)"),
+			adminFlag(&admins),
 			textFlag("service", &service, "", "only this service"),
 			switchFlag("json", &asJSON, "print JSON"),
 		},
--- a/internal/cmds/timeline.go
+++ b/internal/cmds/timeline.go
@@ -19,7 +19,7 @@
 		about:  "Merges the events of all entry hosts into one time line.",
 		detail: "Clock offsets between hosts are estimated from heartbeats; times are those of the first host that answers.",
 		flags: []flag{
-			textFlag("admin", &admins, "", "admin addresses of some entry hosts, separated by commas (required)"),
+			adminFlag(&admins),
 			textFlag("request", &filter.Request, "", "only events of this request ID"),
 			textFlag("service", &filter.Service, "", "only events of this service"),
 			textFlag("target", &filter.Target, "", "only events of this target"),
--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -11,6 +11,7 @@
 	recordsRead      *metrics.Counter
 	recordsRefused   *metrics.Counter
 	recordsAppended  *metrics.Counter
+	rowsRefused      *metrics.Counter
 	logErrors        *metrics.Counter
 	probes           *metrics.Counter
 	forwards         *metrics.Counter
@@ -25,6 +26,7 @@
 		recordsRead:      set.NewCounter("curranttiller_log_records_read_total"),
 		recordsRefused:   set.NewCounter("curranttiller_log_records_malformed_total"),
 		recordsAppended:  set.NewCounter("curranttiller_log_records_appended_total"),
+		rowsRefused:      set.NewCounter("curranttiller_host_rows_malformed_total"),
 		logErrors:        set.NewCounter("curranttiller_log_errors_total"),
 		probes:           set.NewCounter("curranttiller_probes_total"),
 		forwards:         set.NewCounter("curranttiller_forwards_total"),
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -206,7 +206,20 @@
 	}
 }
 
-func (d *Daemon) takeHosts(hosts []plat.Host) {
+// goodRows drops the rows of a list that nobody could use, and counts them.
+func (d *Daemon) goodRows(hosts []plat.Host) []plat.Host {
+	return slices.DeleteFunc(hosts, func(h plat.Host) bool {
+		if err := h.Check(); err != nil {
+			d.counters.rowsRefused.Inc()
+			d.platLog.Warn("row of the host list is malformed and has no effect", "Host", h.Name, "Error", err.Error())
+			return true
+		}
+		return false
+	})
+}
+
+func (d *Daemon) takeHosts(listed []plat.Host) {
+	hosts := d.goodRows(listed)
 	d.mu.Lock()
 	isFirst := d.hosts == nil
 	d.hosts = hosts
--- a/internal/plat/api.go
+++ b/internal/plat/api.go
@@ -1,5 +1,13 @@
 package plat
 
+import (
+	"net/netip"
+
+	"github.com/rotisserie/eris"
+
+	"gitlab.com/curranttiller/curranttiller/pkg/spec"
+)
+
 // StreamDocuments is the stream that holds the documents of all services.
 const StreamDocuments = "documents"
 
@@ -49,6 +57,23 @@
 	State         string
 }
 
+// Check returns why a row cannot be used, or nil.
+func (h *Host) Check() error {
+	if !spec.IsName(h.Name) {
+		return eris.Errorf("name %q: allowed: letters, digits, '-' and '_'", h.Name)
+	}
+	if _, err := netip.ParseAddrPort(h.Address); err != nil {
+		return eris.Errorf("address %q: allowed: IP:port", h.Address)
+	}
+	if h.Role != RoleTarget && h.Role != RoleEntry {
+		return eris.Errorf("role %q: allowed: %s or %s", h.Role, RoleTarget, RoleEntry)
+	}
+	if h.State != StateLive && h.State != StateLeaving {
+		return eris.Errorf("state %q: allowed: %s or %s", h.State, StateLive, StateLeaving)
+	}
+	return nil
+}
+
 // HostsReply answers GET /hosts.
 type HostsReply struct {
 	Revision uint64
--- /dev/null
+++ b/internal/plat/api_test.go
@@ -0,0 +1,53 @@
+package plat_test
+
+import (
+	"encoding/json"
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"gitlab.com/curranttiller/curranttiller/internal/plat"
+)
+
+func TestCheckRefusesBadRows(t *testing.T) {
+	good := plat.Host{Name: "r1", Role: plat.RoleTarget, Address: "127.0.0.1:1", State: plat.StateLive}
+	tests := []struct {
+		name   string
+		change func(h *plat.Host)
+		isGood bool
+	}{
+		{"good", func(*plat.Host) {}, true},
+		{"no name", func(h *plat.Host) { h.Name = "" }, false},
+		{"hostile name", func(h *plat.Host) { h.Name = "a b" }, false},
+		{"address by name", func(h *plat.Host) { h.Address = "host:1" }, false},
+		{"unknown role", func(h *plat.Host) { h.Role = "Moon" }, false},
+		{"unknown state", func(h *plat.Host) { h.State = "Odd" }, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := good
+			tt.change(&h)
+			is.Equal(h.Check() == nil, tt.isGood)
+		})
+	}
+}
+
+func FuzzHosts(f *testing.F) {
+	for _, seed := range []string{`{"Revision":1,"Hosts":[{"Name":"a"}]}`, `{}`, `[]`, `{"Hosts":null}`, `{"Revision":-1}`} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var reply plat.HostsReply
+		if json.Unmarshal(text, &reply) != nil {
+			return
+		}
+		for i := range reply.Hosts {
+			h := &reply.Hosts[i]
+			if _, err := netip.ParseAddrPort(h.Address); err != nil && h.Check() == nil {
+				t.Fatalf("took a row with the address %q", h.Address)
+			}
+		}
+	})
+}
--- a/internal/scenes/faults_test.go
+++ b/internal/scenes/faults_test.go
@@ -1,8 +1,12 @@
 package scenes_test
 
 import (
+	"context"
 	"encoding/json"
+	"io"
+	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -227,3 +231,36 @@
 	}
 	return asked > 0
 }
+
+// cmdAppend appends a raw record to the documents stream.
+func cmdAppend(ts *testscript.TestScript, _ bool, args []string) {
+	s := of(ts)
+	client := plat.NewClient(s.fleet.Platform, new(atomic.Int64))
+	defer client.Close()
+	_, err := client.Append(s.ctx, plat.StreamDocuments, []byte(args[0]))
+	ts.Check(err)
+}
+
+// cmdMetric waits until a metric of a host has at least a value: metric entry1 NAME 2
+func cmdMetric(ts *testscript.TestScript, _ bool, args []string) {
+	s := of(ts)
+	h := s.host(ts, args[0])
+	least := number(ts, args[2])
+	s.await(ts, args[1], func() bool { return metricOf(s.ctx, ts, h.Admin, args[1]) >= least })
+}
+
+func metricOf(ctx context.Context, ts *testscript.TestScript, address, name string) float64 {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/metrics", http.NoBody)
+	ts.Check(err)
+	response, err := http.DefaultClient.Do(request)
+	ts.Check(err)
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	ts.Check(err)
+	for line := range strings.Lines(string(text)) {
+		if value, found := strings.CutPrefix(strings.TrimSpace(line), name+" "); found {
+			return number(ts, value)
+		}
+	}
+	return 0
+}
--- a/internal/scenes/scenes_test.go
+++ b/internal/scenes/scenes_test.go
@@ -68,7 +68,7 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"fleet": cmdFleet, "publish": cmdPublish, "load": cmdLoad, "ended": cmdEnded, "expect": cmdExpect,
 			"process": cmdProcess, "tamper": cmdTamper, "platform": cmdPlatform, "target": cmdTarget, "list": cmdList,
-			"await": cmdAwait, "program": cmdProgram, "submit": cmdSubmit, "stats": cmdStats,
+			"await": cmdAwait, "program": cmdProgram, "submit": cmdSubmit, "stats": cmdStats, "append": cmdAppend, "metric": cmdMetric,
 		},
 	})
 }
--- /dev/null
+++ b/internal/stand/cmds/tools.go
@@ -0,0 +1,84 @@
+package cmds
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"gitlab.com/curranttiller/curranttiller/internal/stand/bench"
+	"gitlab.com/curranttiller/curranttiller/internal/stand/demo"
+	"gitlab.com/curranttiller/curranttiller/internal/stand/fleet"
+	"gitlab.com/curranttiller/curranttiller/internal/stand/scale"
+	"gitlab.com/curranttiller/curranttiller/internal/stand/soak"
+)
+
+// tools are the commands that run a whole fleet and measure or check it.
+func (o *options) tools() []command {
+	program := textFlag{"program", "path of the curranttiller binary", &o.program}
+	out := textFlag{"out", "folder for the results", &o.out}
+	seconds := intFlag{"seconds", "length of a run, in s", &o.seconds}
+	seed := intFlag{"seed", "seed of everything random", &o.seed}
+	return []command{
+		{
+			name: "demo", about: "Runs the whole path as separate processes and prints what came of it.",
+			texts: []textFlag{program}, run: o.runDemo,
+		},
+		{
+			name: "bench", about: "Measures the policies side by side under each condition.", run: o.runBench,
+			texts: []textFlag{
+				program, out,
+				{"only", "only conditions whose name begins so", &o.only},
+				{"policies", "only these policies, separated by commas", &o.policies},
+			},
+			ints: []intFlag{
+				seconds, seed,
+				{"hosts", "entry hosts", &o.hosts},
+				{"work-millis", "mean service time, in ms", &o.workMillis},
+				{"targets", "targets of the service", &o.targetCount},
+				{"slots", "slots of each target", &o.slots},
+			},
+		},
+		{
+			name: "report", about: "Draws the results of bench as one page.",
+			texts: []textFlag{out}, run: func(context.Context) error { return bench.Report(o.out) },
+		},
+		{
+			name: "soak", about: "Runs a fleet under seeded faults of every kind and checks every promise about a request.", run: o.runSoak,
+			texts: []textFlag{program}, ints: []intFlag{seconds, seed, {"rate", "requests a second", &o.rate}},
+		},
+		{
+			name: "scale", about: "Measures what control costs a daemon at several sizes.", run: o.runScale,
+			texts: []textFlag{program}, ints: []intFlag{{"hosts", "only sizes with this number of hosts", &o.sizeHosts}},
+		},
+		{
+			name: "overhead", about: "Measures what one entry host adds to a call, and calls a second per core.", run: o.runOverhead,
+			texts: []textFlag{program, out},
+		},
+	}
+}
+
+func (o *options) runDemo(ctx context.Context) error {
+	return demo.Run(ctx, o.program, o.self, os.Stdout)
+}
+
+func (o *options) runBench(ctx context.Context) error {
+	return bench.Run(ctx, &bench.Options{
+		Program: o.program, Standin: o.self, Hosts: o.hosts, Out: o.out, Only: o.only, OnlyPolicy: o.policies,
+		Service: fleet.Service{Name: "reservas", Targets: o.targetCount, Slots: o.slots},
+		Length:  time.Duration(o.seconds) * time.Second, Work: time.Duration(o.workMillis) * time.Millisecond, Seed: uint64(o.seed),
+	}, os.Stdout)
+}
+
+func (o *options) runSoak(ctx context.Context) error {
+	return soak.Run(ctx, &soak.Options{
+		Program: o.program, Standin: o.self, Seed: uint64(o.seed), Length: time.Duration(o.seconds) * time.Second, Rate: float64(o.rate),
+	}, os.Stdout)
+}
+
+func (o *options) runScale(ctx context.Context) error {
+	return scale.Run(ctx, o.program, o.self, o.sizeHosts, os.Stdout)
+}
+
+func (o *options) runOverhead(ctx context.Context) error {
+	return scale.Overhead(ctx, o.program, o.self, o.out, os.Stdout)
+}
--- a/pkg/ledger/reader.go
+++ b/pkg/ledger/reader.go
@@ -39,6 +39,11 @@
 	InForce []Version
 }
 
+// isPossible reports whether every version was published by the offset that the claim speaks of.
+func (c *Claim) isPossible() bool {
+	return !slices.ContainsFunc(c.InForce, func(v Version) bool { return v.Version == 0 || v.Version > c.Through })
+}
+
 // Reader applies the records of a log in order; it is not safe for concurrent use.
 type Reader struct {
 	validate Validator
@@ -167,7 +172,7 @@
 // Learn takes a claim of another host or of an index. Only a claim that reaches
 // further than the reader changes anything, and no service ever goes to an older version.
 func (r *Reader) Learn(claim Claim) []Outcome {
-	if claim.Through <= r.through {
+	if claim.Through <= r.through || !claim.isPossible() {
 		return nil
 	}
 	for _, v := range claim.InForce {
--- a/pkg/ledger/reader_test.go
+++ b/pkg/ledger/reader_test.go
@@ -79,6 +79,15 @@
 	is.True(r.Current(4))
 }
 
+func TestImpossibleClaimsAreIgnored(t *testing.T) {
+	is := is.New(t)
+	r := ledger.New(validate)
+	r.SkipTo(5)
+	r.Apply(5, &ledger.Record{Kind: ledger.KindIndex, Through: 1 << 40, InForce: []ledger.Version{{Service: "a", Version: 1 << 39}}})
+	is.Equal(len(r.Documents()), 0)
+	is.True(!r.Current(6))
+}
+
 func FuzzDecodeRecord(f *testing.F) {
 	for _, seed := range []string{`{"Kind":"Proposal"}`, `{"Kind":"Text"}`, `{}`, "", `{"Kind":"Index","Through":-1}`, "[]"} {
 		f.Add([]byte(seed))
