Bound the attempts of a request by its own limit; names without metaphors

Cause: a hedge did not look at the limit of attempts, and the limit could grow by a new document while a request was under way; its channel of decisions would then have been too short and the host would have stood still, as it did once before. Change: a request carries its limit (TestAttemptsNeverExceedTheRequestsOwnLimit failed before), and the channel holds every grant and refusal that it can get. Also: names such as door, turn and beat gave way to the usual terms.

--- a/internal/admin/doc.go
+++ b/internal/admin/doc.go
@@ -1,2 +1,2 @@
-// Package admin is the door for operators: status, documents, events and metrics over HTTP with JSON.
+// Package admin serves operators: status, documents, events and metrics over HTTP with JSON.
 package admin
--- a/internal/cmds/entry.go
+++ b/internal/cmds/entry.go
@@ -41,8 +41,8 @@
 	}
 }
 
-// doors are the listening servers of a daemon.
-type doors struct {
+// servers are the listening servers of a daemon.
+type servers struct {
 	callers *front.Server
 	peers   *peer.Server
 	admin   *admin.Server
@@ -56,7 +56,7 @@
 		return err
 	}
 	daemon := entry.New(settings, loggers, time.Now())
-	opened, err := openDoors(settings, daemon, loggers)
+	opened, err := openServers(settings, daemon, loggers)
 	if err != nil {
 		return err
 	}
@@ -66,13 +66,13 @@
 	return nil
 }
 
-func openDoors(settings *config.Settings, daemon *entry.Daemon, loggers *logs.Set) (*doors, error) {
+func openServers(settings *config.Settings, daemon *entry.Daemon, loggers *logs.Set) (*servers, error) {
 	ctx := context.Background()
 	limits := front.Limits{Deadline: settings.DeadlineAtMost, BodyBytes: int64(settings.BodyBytesAtMost)}
-	opened := &doors{
+	opened := &servers{
 		callers: front.NewServer(daemon, limits, loggers.For("front")),
 		peers:   peer.NewServer(daemon, daemon.ControlBytes()),
-		admin:   admin.NewServer(settings.Name, entry.Door{Daemon: daemon}, settings.Pprof == "On"),
+		admin:   admin.NewServer(settings.Name, entry.AdminView{Daemon: daemon}, settings.Pprof == "On"),
 	}
 	callers, err := front.Listen(ctx, settings.CallerAddress)
 	if err != nil {
@@ -94,7 +94,7 @@
 
 // stopEntry leaves in the order that loses nothing: out of the answers first,
 // then the hold time, then the requests in flight.
-func stopEntry(settings *config.Settings, daemon *entry.Daemon, opened *doors, signals <-chan os.Signal) {
+func stopEntry(settings *config.Settings, daemon *entry.Daemon, opened *servers, signals <-chan os.Signal) {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	daemon.Leave(ctx)
 	cancel()
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -156,7 +156,7 @@
 	var telling sync.WaitGroup
 	for _, m := range members {
 		if m.Name != d.settings.Name {
-			telling.Go(func() { d.beat(ctx, m.PeerAddress, m.Info) })
+			telling.Go(func() { d.exchangeTables(ctx, m.PeerAddress, m.Info) })
 		}
 	}
 	telling.Wait()
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -24,7 +24,7 @@
 )
 
 func (d *Daemon) runMembers() {
-	d.beatSeeds()
+	d.contactSeeds()
 	ticker := time.NewTicker(d.settings.HeartbeatPeriod)
 	defer ticker.Stop()
 	for {
@@ -32,7 +32,7 @@
 		case <-d.ctx.Done():
 			return
 		case <-ticker.C:
-			d.beatOnce()
+			d.runHeartbeat()
 		}
 	}
 }
@@ -52,14 +52,14 @@
 	return slices.DeleteFunc(addresses, func(a string) bool { return a == d.settings.PeerAdvertised })
 }
 
-// beatSeeds introduces the host to others that it may not know yet.
-func (d *Daemon) beatSeeds() {
+// contactSeeds introduces the host to others that it may not know yet.
+func (d *Daemon) contactSeeds() {
 	for _, address := range d.seeds() {
-		d.done.Go(func() { d.beat(d.ctx, address, member.Info{}) })
+		d.done.Go(func() { d.exchangeTables(d.ctx, address, member.Info{}) })
 	}
 }
 
-func (d *Daemon) beatOnce() {
+func (d *Daemon) runHeartbeat() {
 	now := time.Now()
 	d.mu.Lock()
 	d.members.Tick(now)
@@ -73,11 +73,11 @@
 	d.mu.Unlock()
 	d.lastBeat.Store(now.UnixNano())
 	if !found {
-		d.beatSeeds()
+		d.contactSeeds()
 		return
 	}
 	d.peers.Keep(keep)
-	d.done.Go(func() { d.beat(d.ctx, partner.PeerAddress, partner.Info) })
+	d.done.Go(func() { d.exchangeTables(d.ctx, partner.PeerAddress, partner.Info) })
 }
 
 // advanceKeys lets the keys of the current counter in before anyone can be told
@@ -88,8 +88,8 @@
 	d.keys.Advance(d.members.Self().Counter, uint64(keepKeysFor/d.settings.HeartbeatPeriod))
 }
 
-// beat exchanges tables with one host; info is empty for a seed.
-func (d *Daemon) beat(ctx context.Context, address string, info member.Info) {
+// exchangeTables exchanges tables with one host; info is empty for a seed.
+func (d *Daemon) exchangeTables(ctx context.Context, address string, info member.Info) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	sent := time.Now()
@@ -97,7 +97,7 @@
 	d.counters.heartbeatsSent.Inc()
 	reply, err := d.peers.Heartbeat(ctx, address, &own)
 	if err != nil {
-		d.beatFailed(info, err)
+		d.heartbeatFailed(info, err)
 		return
 	}
 	d.takeHeartbeat(&reply, sent, time.Now())
@@ -118,7 +118,7 @@
 	}
 }
 
-func (d *Daemon) beatFailed(info member.Info, err error) {
+func (d *Daemon) heartbeatFailed(info member.Info, err error) {
 	d.counters.heartbeatsFailed.Inc()
 	d.peerLog.Debug("heartbeat failed", "Peer", info.Name, "Error", err.Error())
 	if status.Code(eris.Cause(err)) == codes.Unavailable && info.Name != "" {
@@ -225,7 +225,7 @@
 	d.hosts = hosts
 	d.mu.Unlock()
 	if isFirst {
-		d.beatSeeds()
+		d.contactSeeds()
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -32,12 +32,12 @@
 	id      uint64
 	started time.Time
 
-	turns    <-chan turn
-	results  chan *result
-	attempts map[int]*attempt
-	running  int
-	body     *replayBody
-	rescued  bool
+	decisions <-chan decision
+	results   chan *result
+	attempts  map[int]*attempt
+	running   int
+	body      *replayBody
+	rescued   bool
 }
 
 // attempt is one try at a target.
@@ -79,12 +79,13 @@
 		attempts: make(map[int]*attempt),
 		body:     body,
 	}
-	r.turns = s.arrive(choose.Request{
-		ID:         r.id,
-		Idempotent: request.IsIdempotent(),
-		Deadline:   request.Deadline,
-		Single:     request.Header.Get(header.Retry) == "true",
-	}, attempts)
+	r.decisions = s.arrive(choose.Request{
+		ID:             r.id,
+		Idempotent:     request.IsIdempotent(),
+		Deadline:       request.Deadline,
+		Single:         request.Header.Get(header.Retry) == "true",
+		AttemptsAtMost: attempts,
+	})
 	defer r.release()
 	won, failed := r.loop(ctx)
 	if failed != nil {
@@ -123,7 +124,7 @@
 	defer rescue.Stop()
 	for {
 		select {
-		case t := <-r.turns:
+		case t := <-r.decisions:
 			if t.refusal == "" {
 				r.start(ctx, t.grant, hedge, rescue)
 			} else if r.running == 0 {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -19,8 +19,8 @@
 // notePeriod is how often targets that went out of use are looked for, for the time line.
 const notePeriod = 200 * time.Millisecond
 
-// turn is what a waiting request gets from its pool: a grant or a refusal.
-type turn struct {
+// decision is what a waiting request gets from its pool: a grant or a refusal.
+type decision struct {
 	grant   choose.Grant
 	refusal string
 }
@@ -41,7 +41,7 @@
 	client    *target.Client
 	limits    target.Limits
 	addresses map[string]string
-	turns     map[uint64]chan turn
+	decisions map[uint64]chan decision
 	probes    map[string]*budget.Share
 	ejected   map[string]bool
 	noted     time.Time
@@ -76,7 +76,7 @@
 		pool:      choose.New(poolSettings(document, d.settings.FailureDomain), d.incarnation, now),
 		limits:    clientLimits(document),
 		addresses: make(map[string]string),
-		turns:     make(map[uint64]chan turn),
+		decisions: make(map[uint64]chan decision),
 		probes:    make(map[string]*budget.Share),
 		ejected:   make(map[string]bool),
 	}
@@ -150,26 +150,28 @@
 // deliver hands grants and refusals to the waiting requests; s.mu is held.
 func (s *service) deliver(actions choose.Actions) {
 	for _, grant := range actions.Grants {
-		s.deliverTurn(grant.Request, turn{grant: grant})
+		s.deliverDecision(grant.Request, decision{grant: grant})
 	}
 	for _, refusal := range actions.Refusals {
-		s.deliverTurn(refusal.Request, turn{refusal: refusal.Reason})
+		s.deliverDecision(refusal.Request, decision{refusal: refusal.Reason})
 	}
 }
 
-func (s *service) deliverTurn(id uint64, t turn) {
-	if waiter, found := s.turns[id]; found {
+func (s *service) deliverDecision(id uint64, t decision) {
+	if waiter, found := s.decisions[id]; found {
 		waiter <- t
 	}
 }
 
-// arrive registers a request with the pool; its turns come through the returned channel.
-func (s *service) arrive(request choose.Request, attempts int) <-chan turn {
-	// The channel holds every turn that a request can get, so that deliver never blocks.
-	waiter := make(chan turn, attempts+1)
+// arrive registers a request with the pool; its decisions come through the returned channel.
+func (s *service) arrive(request choose.Request) <-chan decision {
+	// The channel holds every decision that a request can get, so that deliver
+	// never blocks: a grant for each attempt, and a refusal for the arrival, for
+	// the retry of each attempt and for the rescue.
+	waiter := make(chan decision, 2*request.AttemptsAtMost+2)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.turns[request.ID] = waiter
+	s.decisions[request.ID] = waiter
 	s.deliver(s.pool.Arrive(time.Now(), request))
 	return waiter
 }
@@ -208,8 +210,8 @@
 func (s *service) release(id uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	waiter := s.turns[id]
-	delete(s.turns, id)
+	waiter := s.decisions[id]
+	delete(s.decisions, id)
 	for len(waiter) > 0 {
 		if unused := <-waiter; unused.refusal == "" {
 			s.deliver(s.pool.Finish(time.Now(), id, unused.grant.Attempt, choose.Outcome{Kind: choose.Unused}))
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -9,13 +9,13 @@
 	"gitlab.com/curranttiller/curranttiller/pkg/choose"
 )
 
-// Door shows a daemon to operators; it converts what the daemon knows to the types of package admin.
-type Door struct {
+// AdminView is what operators see of a daemon; it converts what the daemon knows to the types of package admin.
+type AdminView struct {
 	*Daemon
 }
 
 // Status implements admin.Handler.
-func (o Door) Status() admin.Status {
+func (o AdminView) Status() admin.Status {
 	d := o.Daemon
 	now := time.Now()
 	isolated := d.isIsolated(now)
@@ -86,7 +86,7 @@
 }
 
 // Documents implements admin.Handler.
-func (o Door) Documents() admin.Documents {
+func (o AdminView) Documents() admin.Documents {
 	d := o.Daemon
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/front/doc.go
+++ b/internal/front/doc.go
@@ -1,2 +1,2 @@
-// Package front is the door for callers: the directory and the requests to services, over HTTP.
+// Package front serves callers: the directory and the requests to services, over HTTP.
 package front
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -72,7 +72,7 @@
 	return s
 }
 
-// Listen opens the address of a caller door, with keep-alives that find silent connections.
+// Listen opens the address that callers connect to, with keep-alives that find silent connections.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
 	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
 		Enable:   true,
--- a/pkg/choose/pool.go
+++ b/pkg/choose/pool.go
@@ -37,6 +37,11 @@
 	doubted bool
 }
 
+// isSpent reports whether the request has had all its attempts.
+func (r *pending) isSpent() bool {
+	return len(r.attempts) >= r.AttemptsAtMost
+}
+
 func (r *pending) hasTried(target string) bool {
 	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.target.Name == target })
 }
@@ -125,6 +130,9 @@
 // Arrive takes a request, which is then granted, refused or waits.
 func (p *Pool) Arrive(now time.Time, request Request) Actions {
 	p.extra.Earn()
+	if request.AttemptsAtMost == 0 {
+		request.AttemptsAtMost = p.settings.AttemptsAtMost
+	}
 	r := &pending{Request: request, arrived: now}
 	if !p.hasTarget() {
 		return refuse(request.ID, ReasonNoTarget)
@@ -218,7 +226,7 @@
 }
 
 func (p *Pool) hedgeAfter(r *pending) time.Duration {
-	if !r.Idempotent || r.Single || p.settings.HedgeQuantile >= 1 || len(r.attempts) >= p.settings.AttemptsAtMost {
+	if !r.Idempotent || r.Single || p.settings.HedgeQuantile >= 1 || r.isSpent() {
 		return 0
 	}
 	return p.typical.hedge
@@ -227,7 +235,7 @@
 // Hedge asks for a second attempt of a request that is still out.
 func (p *Pool) Hedge(now time.Time, id uint64) Actions {
 	r, found := p.requests[id]
-	if !found || p.load > p.settings.BusyShare || p.waiting.len() > 0 {
+	if !found || r.isSpent() || p.load > p.settings.BusyShare || p.waiting.len() > 0 {
 		return Actions{}
 	}
 	target, _ := p.pick(now, r)
@@ -242,7 +250,7 @@
 // silent is not counted against the budget, since every connection can need only one.
 func (p *Pool) Retry(now time.Time, id uint64, isRescue bool) (Actions, bool) {
 	r, found := p.requests[id]
-	if !found || len(r.attempts) >= p.settings.AttemptsAtMost {
+	if !found || r.isSpent() {
 		return Actions{}, false
 	}
 	if !isRescue && (r.Single || p.load > p.settings.BusyShare || !p.extra.Spend()) {
--- a/pkg/choose/pool_test.go
+++ b/pkg/choose/pool_test.go
@@ -355,3 +355,28 @@
 		is.True(granted[window] > 0)
 	}
 }
+
+// TestAttemptsNeverExceedTheRequestsOwnLimit hedges and retries at will while the
+// document allows more attempts than it did when the request arrived. Its
+// channel of decisions is as long as its own limit; one more would stop the host.
+func TestAttemptsNeverExceedTheRequestsOwnLimit(t *testing.T) {
+	is := is.New(t)
+	p := newPool(8)
+	for id := uint64(100); id < 200; id++ {
+		p.Arrive(start, read(id)) // earns extra attempts
+		p.Finish(start, id, 1, choose.Outcome{Kind: choose.Answered})
+		p.Release(start, id)
+	}
+	request := read(1)
+	request.AttemptsAtMost = 2
+	grants := len(p.Arrive(start, request).Grants)
+	more := settings()
+	more.AttemptsAtMost = 5
+	p.SetSettings(more, start)
+	for range 4 {
+		grants += len(p.Hedge(start, 1).Grants)
+		a, _ := p.Retry(start, 1, true)
+		grants += len(a.Grants)
+	}
+	is.Equal(grants, 2)
+}
--- a/pkg/choose/types.go
+++ b/pkg/choose/types.go
@@ -43,6 +43,8 @@
 	Idempotent bool
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
+	// AttemptsAtMost bounds the attempts of this request whatever the settings become; zero means the settings at its arrival.
+	AttemptsAtMost int
 	// Single requests get no extra attempts, because a level above retries.
 	Single bool
 }
