--- /dev/null
+++ b/internal/beacon/message_test.go
@@ -0,0 +1,63 @@
+package beacon_test
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gitlab.com/curranttiller/curranttiller/internal/beacon"
+)
+
+func message() *beacon.Message {
+	return &beacon.Message{
+		Sender: "entry1", Incarnation: 7, Sequence: 3,
+		Topics:   []beacon.Extent{{Topic: "targets", Through: 41, Age: 250 * time.Millisecond}},
+		Services: []beacon.Sight{{Service: "reservas", Targets: []beacon.Seen{{ID: beacon.TargetID("t1"), InFlight: 2, Slowdown: 1.25, Age: 30 * time.Millisecond}}}},
+	}
+}
+
+func TestMessageSurvivesTheWire(t *testing.T) {
+	is := is.New(t)
+	encoded, err := beacon.Encode(message())
+	is.NoErr(err)
+	decoded, err := beacon.Decode(encoded)
+	is.NoErr(err)
+	is.Equal(&decoded, message())
+}
+
+func FuzzDecode(f *testing.F) {
+	encoded, err := beacon.Encode(message())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(encoded)
+	f.Add([]byte{0x08, 0x02})
+	f.Fuzz(func(_ *testing.T, datagram []byte) {
+		_, _ = beacon.Decode(datagram)
+	})
+}
+
+func TestSocketDeliversAndSkipsMalformed(t *testing.T) {
+	is := is.New(t)
+	log := slog.New(slog.DiscardHandler)
+	receiver, err := beacon.Open("127.0.0.1:39417", log)
+	is.NoErr(err)
+	defer receiver.Close()
+	sender, err := beacon.Open("127.0.0.1:39418", log)
+	is.NoErr(err)
+	defer sender.Close()
+	got := make(chan beacon.Message, 1)
+	receiver.Start(func(m *beacon.Message) { got <- *m })
+	sender.Send("127.0.0.1:39417", []byte("not a beacon"))
+	encoded, err := beacon.Encode(message())
+	is.NoErr(err)
+	sender.Send("127.0.0.1:39417", encoded)
+	select {
+	case m := <-got:
+		is.Equal(&m, message())
+	case <-t.Context().Done():
+		t.Fatal("no beacon arrived")
+	}
+}
--- a/internal/cmds/app.go
+++ b/internal/cmds/app.go
@@ -41,9 +41,10 @@
 
 // positional is one argument of a command.
 type positional struct {
-	name  string
-	about string
-	into  *string
+	name     string
+	about    string
+	into     *string
+	optional bool
 }
 
 // command is one subcommand.
@@ -112,7 +113,7 @@
 		}
 	}
 	for i, p := range c.positionals {
-		sub.AddPositionalValue(p.into, p.name, i+1, true, p.about)
+		sub.AddPositionalValue(p.into, p.name, i+1, !p.optional, p.about)
 	}
 	return sub
 }
--- a/internal/cmds/entry.go
+++ b/internal/cmds/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -16,24 +17,32 @@
 	"gitlab.com/curranttiller/curranttiller/internal/front"
 	"gitlab.com/curranttiller/curranttiller/internal/logs"
 	"gitlab.com/curranttiller/curranttiller/internal/peer"
+	"gitlab.com/curranttiller/curranttiller/platform"
 )
 
-// leaveTimeout bounds the time to tell the other hosts of a stop.
-const leaveTimeout = time.Second
+const (
+	// leaveTimeout bounds the time to tell the other hosts of a stop.
+	leaveTimeout = time.Second
+	// settingsVariable names the settings file if no argument does.
+	settingsVariable = "CURRANTTILLER_CONFIG"
+)
 
 func entryCommand() *command {
 	var path string
 	return &command{
 		name:        "entry",
 		about:       "Runs the daemon of an entry host until SIGTERM.",
-		detail:      "On SIGTERM or SIGINT the host leaves the directory, serves for the hold time of its answers, finishes what is in flight and exits 0. A second signal ends it at once.",
-		positionals: []positional{{name: "settings", about: "INI file with the settings of the host; see docs/SETTINGS.md", into: &path}},
+		detail:      "On SIGTERM or SIGINT the host leaves the directory, serves for the hold time of its answers, finishes what is in flight and exits 0. A second signal ends it at once. SIGHUP reads the settings again and logs whether they are valid; addresses and limits change at the next start. Without an argument, " + settingsVariable + " names the settings.",
+		positionals: []positional{{name: "settings", about: "INI file with the settings of the host; see docs/SETTINGS.md", into: &path, optional: true}},
 		run: func(s streams) int {
+			if path == "" {
+				path = os.Getenv(settingsVariable)
+			}
 			settings, err := config.Load(path)
 			if err != nil {
 				return s.fail(err)
 			}
-			if err := runEntry(s, &settings); err != nil {
+			if err := runEntry(s, path, &settings); err != nil {
 				return s.fail(err)
 			}
 			return ExitDone
@@ -41,43 +50,82 @@
 	}
 }
 
+// callerDoor is where callers connect.
+type callerDoor interface {
+	// Leave asks callers to look for another host.
+	Leave()
+	// Close waits up to wait for requests in flight and cuts the rest.
+	Close(wait time.Duration)
+}
+
 // servers are the listening servers of a daemon.
 type servers struct {
-	callers *front.Server
+	callers callerDoor
 	peers   *peer.Server
 	admin   *admin.Server
 }
 
-func runEntry(s streams, settings *config.Settings) error {
+func runEntry(s streams, path string, settings *config.Settings) error {
 	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	loggers, err := logs.New(s.err, settings.Name, settings.LogLevels)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	loggers, err := logs.New(logOutput(s, settings), settings.Name, settings.LogLevels)
 	if err != nil {
 		return err
 	}
-	daemon := entry.New(settings, loggers, time.Now())
+	daemon := entry.New(settings, adapter(settings), loggers, time.Now())
 	opened, err := openServers(settings, daemon, loggers)
 	if err != nil {
 		return err
 	}
-	daemon.Start()
-	<-signals
+	if err := daemon.Start(); err != nil {
+		return err
+	}
+	waitForStop(path, loggers, signals)
 	stopEntry(settings, daemon, opened, signals)
 	return nil
 }
 
+// logOutput is standard output on a platform that collects it from there.
+func logOutput(s streams, settings *config.Settings) io.Writer {
+	if settings.PlatformForm == config.FormStore {
+		return s.out
+	}
+	return s.err
+}
+
+func adapter(settings *config.Settings) entry.Adapter {
+	if settings.PlatformForm == config.FormStore {
+		return platform.NewAdapter(settings)
+	}
+	return entry.OwnAdapter()
+}
+
+// waitForStop returns at the first signal to stop.
+func waitForStop(path string, loggers *logs.Set, signals <-chan os.Signal) {
+	log := loggers.For("entry")
+	for got := range signals {
+		if got != syscall.SIGHUP {
+			return
+		}
+		if _, err := config.Load(path); err != nil {
+			log.Error("settings were read again and are refused; the old ones stay", "Error", err.Error())
+			continue
+		}
+		log.Info("settings were read again and are valid; they count from the next start")
+	}
+}
+
 func openServers(settings *config.Settings, daemon *entry.Daemon, loggers *logs.Set) (*servers, error) {
 	ctx := context.Background()
-	limits := front.Limits{Deadline: settings.DeadlineAtMost, BodyBytes: int64(settings.BodyBytesAtMost)}
 	opened := &servers{
-		callers: front.NewServer(daemon, limits, loggers.For("front")),
-		peers:   peer.NewServer(daemon, daemon.ControlBytes()),
-		admin:   admin.NewServer(settings.Name, entry.AdminView{Daemon: daemon}, settings.Pprof == "On"),
+		peers: peer.NewServer(daemon, daemon.ControlBytes()),
+		admin: admin.NewServer(settings.Name, entry.AdminView{Daemon: daemon}, settings.Pprof == "On"),
 	}
-	callers, err := front.Listen(ctx, settings.CallerAddress)
+	callers, err := openDoor(ctx, settings, daemon, loggers)
 	if err != nil {
-		return nil, eris.Wrap(err, "opening the caller address")
+		return nil, err
 	}
+	opened.callers = callers
 	peers, err := front.Listen(ctx, settings.PeerAddress)
 	if err != nil {
 		return nil, eris.Wrap(err, "opening the peer address")
@@ -86,26 +134,65 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "opening the admin address")
 	}
-	opened.callers.Start(callers)
 	opened.peers.Start(peers)
 	opened.admin.Start(operators)
 	return opened, nil
 }
 
+func openDoor(ctx context.Context, settings *config.Settings, daemon *entry.Daemon, loggers *logs.Set) (callerDoor, error) {
+	if settings.PlatformForm == config.FormStore {
+		door := platform.NewDoor(daemon, settings, loggers.For("front"))
+		return door, door.Open(ctx)
+	}
+	limits := front.Limits{Deadline: settings.DeadlineAtMost, BodyBytes: int64(settings.BodyBytesAtMost)}
+	server := front.NewServer(daemon, limits, loggers.For("front"))
+	listener, err := front.Listen(ctx, settings.CallerAddress)
+	if err != nil {
+		return nil, eris.Wrap(err, "opening the caller address")
+	}
+	server.Start(listener)
+	return server, nil
+}
+
 // stopEntry leaves in the order that loses nothing: out of the answers first,
 // then the hold time, then the requests in flight.
 func stopEntry(settings *config.Settings, daemon *entry.Daemon, opened *servers, signals <-chan os.Signal) {
+	stopped := time.Now()
+	opened.callers.Leave()
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	daemon.Leave(ctx)
 	cancel()
-	select {
-	case <-time.After(daemon.HoldTime()):
-	case <-signals:
-		fmt.Fprintln(os.Stderr, "second signal: stopping at once")
-		opened.callers.Close(0)
-	}
-	opened.callers.Close(settings.DeadlineAtMost)
-	opened.peers.Close(settings.DeadlineAtMost)
+	waitToStop(daemon.HoldTime()-time.Since(stopped), opened, signals)
+	within := settings.DeadlineAtMost
+	if settings.PlatformForm == config.FormStore {
+		within = settings.StopWithin - time.Since(stopped)
+	}
+	opened.callers.Close(within)
+	if settings.PlatformForm == config.FormStore {
+		within = peersWithin
+	}
+	opened.peers.Close(within)
 	daemon.Close()
 	opened.admin.Close()
 }
+
+// peersWithin bounds the wait for calls of other hosts at a stop on a platform with a store.
+const peersWithin = 100 * time.Millisecond
+
+// waitToStop waits for the hold time or for a second signal to stop.
+func waitToStop(hold time.Duration, opened *servers, signals <-chan os.Signal) {
+	over := time.After(max(hold, 0))
+	for {
+		select {
+		case <-over:
+			return
+		case got := <-signals:
+			if got == syscall.SIGHUP {
+				continue
+			}
+			fmt.Fprintln(os.Stderr, "second signal: stopping at once")
+			opened.callers.Close(0)
+			return
+		}
+	}
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -28,8 +29,28 @@
 	PeerAdvertised   string
 	// Peers are the peer addresses of a few other hosts.
 	Peers []string
+	// BeaconAddress is where datagrams of other entry hosts arrive; it is used with a store only.
+	BeaconAddress string
 	// Platform is the address of the platform.
 	Platform string
+	// PlatformForm is one of the Form constants.
+	PlatformForm string
+	// ReadyAddress and DirectoryAddress are listening addresses that a platform with a store asks for.
+	ReadyAddress     string
+	DirectoryAddress string
+	// SteeredHosts is the least number of hosts that callers are steered to, and SlotsPerHost the slots of targets for each one more.
+	SteeredHosts int
+	SlotsPerHost int
+	// DirectoryHold is how long callers may keep a directory answer of a host with a store, and StopHold how long a stopping host serves on.
+	DirectoryHold time.Duration
+	StopHold      time.Duration
+	// StopWithin is the time from the signal to stop to the exit.
+	StopWithin time.Duration
+	// RetryShare and RetryBurst are the extra attempts of all hosts together as a share of requests and beyond that.
+	RetryShare float64
+	RetryBurst float64
+	// ProbesPerSecond bounds the probes of one target by all hosts.
+	ProbesPerSecond float64
 	// LogRetention is how long the platform's log keeps records.
 	LogRetention time.Duration
 	// HostListPeriod is the time between two reads of the list of hosts.
@@ -54,11 +75,40 @@
 	Pprof string
 }
 
+// Forms of platforms.
+const (
+	// FormOwn is a platform that speaks the protocol of docs/PLATFORM.md.
+	FormOwn = "Own"
+	// FormStore is a platform with a store of keyed topics.
+	FormStore = "Store"
+)
+
 // Fields describes every key of the settings and stores parsed values into s.
 func (s *Settings) Fields() []spec.Field {
-	return append(s.hostFields(), s.limitFields()...)
+	return slices.Concat(s.hostFields(), s.limitFields(), s.storeFields())
 }
 
+// storeFields are used on a platform with a store.
+func (s *Settings) storeFields() []spec.Field {
+	return []spec.Field{
+		{Section: "Platform", Key: "Form", Default: FormOwn, Allowed: "Own or Store", About: "Whether the platform speaks the project's own protocol or has a store of keyed topics.", Set: spec.Choice(&s.PlatformForm, FormOwn, FormStore)},
+		{Section: "Host", Key: "BeaconAddress", Default: unusedAddress, Allowed: "IP:port", About: "Where datagrams of other entry hosts arrive (form Store).", Set: address(&s.BeaconAddress)},
+		{Section: "Host", Key: "ReadyAddress", Default: unusedAddress, Allowed: "IP:port", About: "Where the platform asks whether the host is ready (form Store).", Set: address(&s.ReadyAddress)},
+		{Section: "Host", Key: "DirectoryAddress", Default: unusedAddress, Allowed: "IP:port", About: "Where callers ask for addresses (form Store).", Set: address(&s.DirectoryAddress)},
+		{Section: "Steering", Key: "Hosts", Unit: "hosts", Default: "3", Allowed: "1 to 1000", About: "Least number of hosts that callers are steered to (form Store).", Set: spec.Int(&s.SteeredHosts, 1, 1000)},
+		{Section: "Steering", Key: "SlotsPerHost", Unit: "slots", Default: "60", Allowed: "1 to 100000", About: "Slots of targets for each steered host (form Store).", Set: spec.Int(&s.SlotsPerHost, 1, 100000)},
+		{Section: "Steering", Key: "DirectoryHoldMillis", Unit: "ms", Default: "2000", Allowed: "100 to 600000", About: "How long callers may keep a directory answer (form Store).", Set: spec.Millis(&s.DirectoryHold, 100*time.Millisecond, 10*time.Minute)},
+		{Section: "Stop", Key: "HoldMillis", Unit: "ms", Default: "4500", Allowed: "0 to 600000", About: "How long a stopping host takes requests of callers that have not heard of it yet (form Store).", Set: spec.Millis(&s.StopHold, 0, 10*time.Minute)},
+		{Section: "Stop", Key: "WithinMillis", Unit: "ms", Default: "5700", Allowed: "0 to 600000", About: "Time from the signal to stop to the exit, less than the platform's grace time (form Store).", Set: spec.Millis(&s.StopWithin, 0, 10*time.Minute)},
+		{Section: "Retries", Key: "ShareOfRequests", Default: "0.2", Allowed: "0 to 1", About: "Extra attempts of all hosts together as a share of requests (form Store).", Set: spec.Float(&s.RetryShare, 0, 1)},
+		{Section: "Retries", Key: "Burst", Unit: "attempts", Default: "50", Allowed: "0 to 100000", About: "Extra attempts of all hosts together beyond the share, in a window (form Store).", Set: spec.Float(&s.RetryBurst, 0, 100000)},
+		{Section: "Measuring", Key: "ProbesPerSecond", Unit: "probes", Default: "10", Allowed: "0 to 10000", About: "Probes of one target a second by all hosts together (form Store).", Set: spec.Float(&s.ProbesPerSecond, 0, 10000)},
+	}
+}
+
+// unusedAddress is the default of addresses that only one form of platform needs.
+const unusedAddress = "0.0.0.0:1"
+
 func (s *Settings) hostFields() []spec.Field {
 	return []spec.Field{
 		{Section: "Host", Key: "Name", Allowed: "a name of letters, digits, '-' and '_'", About: "Name of the host, unique in the system.", Set: spec.Name(&s.Name)},
--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"fmt"
+
 	"github.com/VictoriaMetrics/metrics"
 )
 
@@ -17,6 +19,17 @@
 	forwards         *metrics.Counter
 	replays          *metrics.Counter
 	added            *metrics.Histogram
+	beaconsSent      *metrics.Counter
+	set              *metrics.Set
+}
+
+// storeCall counts a call of the store by topic and outcome.
+func (c *counters) storeCall(topic string, err error) {
+	outcome := "Answered"
+	if err != nil {
+		outcome = "Failed"
+	}
+	c.set.GetOrCreateCounter(fmt.Sprintf("curranttiller_store_calls_total{topic=%q,outcome=%q}", topic, outcome)).Inc()
 }
 
 func newCounters(set *metrics.Set) counters {
@@ -32,5 +45,7 @@
 		forwards:         set.NewCounter("curranttiller_forwards_total"),
 		replays:          set.NewCounter("curranttiller_answers_replayed_total"),
 		added:            set.NewHistogram("curranttiller_added_latency_seconds"),
+		beaconsSent:      set.NewCounter("curranttiller_beacons_sent_total"),
+		set:              set,
 	}
 }
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"gitlab.com/curranttiller/curranttiller/internal/beacon"
 	"gitlab.com/curranttiller/curranttiller/internal/config"
 	"gitlab.com/curranttiller/curranttiller/internal/logs"
 	"gitlab.com/curranttiller/curranttiller/internal/peer"
@@ -19,11 +21,14 @@
 	"gitlab.com/curranttiller/curranttiller/pkg/settle"
 	"gitlab.com/curranttiller/curranttiller/pkg/spec"
 	"gitlab.com/curranttiller/curranttiller/pkg/steer"
+	"gitlab.com/curranttiller/curranttiller/pkg/table"
 )
 
 const (
 	// forgetFactor is how many fail times a silent member stays in the table.
 	forgetFactor = 12
+	// strangersAfter is how long a fresh host waits for the store before it asks other hosts.
+	strangersAfter = 300 * time.Millisecond
 	// isolatedAfter is how long a host that reaches neither the log nor a peer goes on.
 	isolatedAfter = 9 * time.Second
 )
@@ -39,8 +44,14 @@
 	metrics     *metrics.Set
 	counters    counters
 	control     *atomic.Int64
+	adapter     Adapter
 	platform    *plat.Client
 	peers       *peer.Pool
+	socket      *beacon.Socket
+	// urgent asks for a beacon before the next period.
+	urgent chan struct{}
+	// known is closed when the store's facts suffice to serve.
+	known chan struct{}
 
 	// mu guards the members below; nothing blocks while it is held.
 	mu       sync.Mutex
@@ -57,6 +68,19 @@
 	testing map[string]bool
 	recent  []ledger.Outcome
 
+	// configuration and targets are the topics of the store; routes is what the former means.
+	configuration *followed
+	targets       *followed
+	routes        *table.Table
+	splitter      *table.Splitter
+	// met are entry hosts found through the store.
+	met []plat.Host
+	// steeredNow are the hosts that callers are steered to, and place is this host's among them.
+	steeredNow []steer.Host
+	place      int
+	// beacons numbers the beacons of this incarnation.
+	beacons uint64
+
 	keysMu sync.Mutex
 	keys   *settle.Home
 	joins  map[string]chan struct{}
@@ -74,7 +98,7 @@
 }
 
 // New returns a daemon that is not started yet; now is its incarnation.
-func New(settings *config.Settings, loggers *logs.Set, now time.Time) *Daemon {
+func New(settings *config.Settings, adapter Adapter, loggers *logs.Set, now time.Time) *Daemon {
 	incarnation := uint64(now.UnixNano())
 	ctx, cancel := context.WithCancel(context.Background())
 	control := new(atomic.Int64)
@@ -87,6 +111,9 @@
 		events:      event.NewRing(settings.Name, incarnation, settings.EventsKept, time.Now),
 		metrics:     metrics.NewSet(),
 		control:     control,
+		adapter:     adapter,
+		urgent:      make(chan struct{}, 1),
+		known:       make(chan struct{}),
 		platform:    plat.NewClient(settings.Platform, control),
 		peers:       peer.NewPool(control),
 		reader:      ledger.New(validateDocument),
@@ -95,8 +122,13 @@
 		leads:       make(map[string]time.Duration),
 		testing:     make(map[string]bool),
 		joins:       make(map[string]chan struct{}),
-		ctx:         ctx,
-		cancel:      cancel,
+
+		configuration: newFollowed(TopicConfiguration),
+		targets:       newFollowed(TopicTargets),
+		splitter:      table.NewSplitter(rand.New(rand.NewPCG(incarnation, 0)).Float64),
+
+		ctx:    ctx,
+		cancel: cancel,
 	}
 	d.counters = newCounters(d.metrics)
 	d.metrics.NewGauge("curranttiller_control_bytes", func() float64 { return float64(control.Load()) })
@@ -119,6 +151,7 @@
 		CallerAddress: d.settings.CallerAdvertised,
 		PeerAddress:   d.settings.PeerAdvertised,
 		AdminAddress:  d.settings.AdminAddress,
+		BeaconAddress: d.settings.BeaconAddress,
 	}
 }
 
@@ -128,17 +161,68 @@
 }
 
 // Start runs the loops of the daemon until Close.
-func (d *Daemon) Start() {
+func (d *Daemon) Start() error {
+	if d.adapter.Store != nil {
+		socket, err := beacon.Open(d.settings.BeaconAddress, d.peerLog)
+		if err != nil {
+			return err
+		}
+		d.socket = socket
+	}
 	d.log.Info("entry host started", "Incarnation", d.incarnation, "FailureDomain", d.settings.FailureDomain)
 	d.events.Add(event.Event{Kind: "HostStarted"})
 	now := time.Now().UnixNano()
 	d.logContact.Store(now)
 	d.peerContact.Store(now)
 	d.lastBeat.Store(now)
+	d.done.Go(d.runTimers)
+	if d.adapter.Store != nil {
+		d.startFollowing()
+		return nil
+	}
 	d.done.Go(d.runMembers)
 	d.done.Go(d.runDocuments)
 	d.done.Go(d.runHosts)
-	d.done.Go(d.runTimers)
+	return nil
+}
+
+// startFollowing runs the loops of a host whose platform has a store. The host
+// joins the others only when it can serve, so that no caller is sent to it before.
+func (d *Daemon) startFollowing() {
+	d.socket.Start(d.receiveBeacon)
+	d.done.Go(func() { d.runFollow(d.configuration) })
+	d.done.Go(func() { d.runFollow(d.targets) })
+	d.done.Go(d.runLapses)
+	d.done.Go(d.learnFromStrangers)
+	d.done.Go(func() {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-d.known:
+		}
+		d.done.Go(d.meet)
+		d.done.Go(d.runBeacons)
+		d.runMembers()
+	})
+}
+
+// learnFromStrangers asks the seeds of the settings for facts while the store
+// does not answer.
+func (d *Daemon) learnFromStrangers() {
+	for {
+		d.pause(strangersAfter)
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-d.known:
+			return
+		default:
+		}
+		for _, address := range d.seeds() {
+			d.learnFacts(d.configuration, address)
+			d.learnFacts(d.targets, address)
+		}
+	}
 }
 
 // Leave takes the host out of callers' answers and tells every member.
@@ -167,6 +251,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	longest := time.Duration(0)
+	if d.adapter.Store != nil {
+		longest = d.settings.StopHold
+	}
 	for _, s := range d.services {
 		longest = max(longest, s.document.DirectoryHold)
 	}
@@ -176,9 +263,15 @@
 // Close stops the loops and waits for them.
 func (d *Daemon) Close() {
 	d.cancel()
+	if d.socket != nil {
+		d.socket.Close()
+	}
 	d.done.Wait()
 	d.peers.Close()
 	d.platform.Close()
+	if d.adapter.Store != nil {
+		d.adapter.Store.Close()
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, s := range d.services {
@@ -205,6 +298,10 @@
 // isIsolated reports whether the host must assume that others went on without
 // it. A host that never knew another one goes on alone.
 func (d *Daemon) isIsolated(now time.Time) bool {
+	if d.adapter.Store != nil {
+		// Callers that still reach the host are better served by old facts than not at all.
+		return false
+	}
 	heard := max(d.logContact.Load(), d.peerContact.Load())
 	if now.UnixNano()-heard < int64(isolatedAfter) {
 		return false
--- /dev/null
+++ b/internal/entry/follow.go
@@ -0,0 +1,369 @@
+package entry
+
+import (
+	"context"
+	"reflect"
+	"time"
+
+	"gitlab.com/curranttiller/curranttiller/internal/plat"
+	"gitlab.com/curranttiller/curranttiller/pkg/event"
+	"gitlab.com/curranttiller/curranttiller/pkg/facts"
+	"gitlab.com/curranttiller/curranttiller/pkg/spec"
+	"gitlab.com/curranttiller/curranttiller/pkg/steer"
+	"gitlab.com/curranttiller/curranttiller/pkg/table"
+)
+
+const (
+	// followTick is how often a host looks whether it is its turn to read the store.
+	followTick = 50 * time.Millisecond
+	// storeWait is how long a read waits at the store for the first record.
+	storeWait = time.Second
+	// storeTimeout is how long a call may take beyond its wait; the store answers in a few ms.
+	storeTimeout = 1200 * time.Millisecond
+	// storeRetryFirst and storeRetryMost bound the delay after a failed call.
+	storeRetryFirst = 150 * time.Millisecond
+	storeRetryMost  = 1500 * time.Millisecond
+	// outageAge is the age of knowledge from which the store counts as having been out of reach.
+	outageAge = 3 * time.Second
+	// lapseGrace is how long an entry that lapsed in an outage is kept after it; targets that live register again within two seconds.
+	lapseGrace = 2300 * time.Millisecond
+	// unknownRouteAge is the age of the configuration up to which a request without a route is refused for good.
+	unknownRouteAge = 1500 * time.Millisecond
+	// factsTimeout bounds the question of what another host knows.
+	factsTimeout = 500 * time.Millisecond
+	// meetAfter is how long a fresh host waits to hear of others before it looks for them in the store.
+	meetAfter = time.Second
+)
+
+// storeTurn states who reads the store when: a change is in force on every host
+// within two seconds of its acknowledgement, so nobody waits longer than that.
+var storeTurn = facts.Turn{
+	Period: 300 * time.Millisecond,
+	Grace:  storeWait + 200*time.Millisecond,
+	Step:   50 * time.Millisecond,
+	Most:   1700 * time.Millisecond,
+}
+
+// followed is a topic with the state of the loop that reads it.
+type followed struct {
+	name  string
+	topic *facts.Topic
+	lapse facts.Lapse
+	// isAsking says that another host is being asked for changes.
+	isAsking bool
+	// isLost says that the last call of the store failed.
+	isLost bool
+}
+
+func newFollowed(name string) *followed {
+	return &followed{name: name, topic: facts.NewTopic(), lapse: facts.NewLapse(outageAge, lapseGrace)}
+}
+
+// runFollow reads a topic whenever it is this host's turn.
+func (d *Daemon) runFollow(f *followed) {
+	retry := storeRetryFirst
+	for d.ctx.Err() == nil {
+		if !d.isTurn(f) {
+			d.pause(followTick)
+			continue
+		}
+		started := time.Now()
+		if err := d.readStore(f); err != nil {
+			d.storeFailed(f, err)
+			d.pause(retry)
+			retry = min(2*retry, storeRetryMost)
+			continue
+		}
+		retry = storeRetryFirst
+		d.pause(storeTurn.Period - time.Since(started))
+	}
+}
+
+func (d *Daemon) pause(wait time.Duration) {
+	select {
+	case <-d.ctx.Done():
+	case <-time.After(max(wait, 0)):
+	}
+}
+
+// isTurn reports whether nobody has confirmed a topic for as long as this host waits.
+func (d *Daemon) isTurn(f *followed) bool {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !f.topic.IsKnown() {
+		return true
+	}
+	return f.topic.Age(now) >= storeTurn.Due(d.place)
+}
+
+// readStore reads what is new in a topic, or all of it if changes are missing.
+func (d *Daemon) readStore(f *followed) error {
+	d.mu.Lock()
+	from := f.topic.Through()
+	isKnown := f.topic.IsKnown()
+	wait := time.Duration(0)
+	if d.place == 0 && isKnown {
+		wait = storeWait
+	}
+	d.mu.Unlock()
+	ctx, cancel := context.WithTimeout(d.ctx, wait+storeTimeout)
+	defer cancel()
+	var delta facts.Delta
+	err := error(ErrTrimmed)
+	if isKnown {
+		delta, err = d.adapter.Store.Changes(ctx, f.name, from, wait)
+	}
+	if isTrimmed(err) {
+		d.log.Info("reading the newest records of a topic", "Topic", f.name, "Known", isKnown, "From", from)
+		delta, err = d.adapter.Store.Newest(ctx, f.name)
+	}
+	d.counters.storeCall(f.name, err)
+	if err != nil {
+		return err
+	}
+	d.logContact.Store(time.Now().UnixNano())
+	d.takeDelta(f, &delta, "store")
+	return nil
+}
+
+func (d *Daemon) storeFailed(f *followed, err error) {
+	if d.ctx.Err() != nil {
+		return
+	}
+	d.counters.logErrors.Inc()
+	d.mu.Lock()
+	isFirst := !f.isLost
+	f.isLost = true
+	age := f.topic.Age(time.Now())
+	d.mu.Unlock()
+	if isFirst {
+		d.platLog.Warn("store lost; the last facts stay in use", "Topic", f.name, "AgeMillis", age.Milliseconds(), "Error", err.Error())
+	}
+}
+
+// takeDelta takes facts from the store or from another host and puts them in force.
+func (d *Daemon) takeDelta(f *followed, delta *facts.Delta, source string) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if f.isLost && source == "store" {
+		f.isLost = false
+		d.platLog.Info("store regained", "Topic", f.name, "AgeMillis", f.topic.Age(now).Milliseconds())
+	}
+	wasKnown := f.topic.IsKnown()
+	f.lapse.Note(now, f.topic)
+	changed := f.topic.Apply(now, delta)
+	if changed || !wasKnown {
+		d.platLog.Info("facts changed", "Topic", f.name, "Source", source, "Through", f.topic.Through(), "Facts", len(delta.Facts), "Whole", delta.Whole)
+		d.putInForce(f, now)
+		d.beaconNow()
+	}
+}
+
+// putInForce decodes a topic and acts on it; d.mu is held.
+func (d *Daemon) putInForce(f *followed, now time.Time) {
+	switch f.name {
+	case TopicConfiguration:
+		d.takeConfiguration(f.topic.Facts(), now)
+	case TopicTargets:
+		d.takeTargets(f.lapse.Keep(now, f.topic.Facts()), now)
+	}
+}
+
+// takeConfiguration puts a newer configuration in force; d.mu is held.
+func (d *Daemon) takeConfiguration(newest []facts.Fact, now time.Time) {
+	routes, documents, err := d.adapter.Decoder.Configuration(newest)
+	if err != nil {
+		d.platLog.Error("configuration is malformed; the last one stays in force", "Error", err.Error())
+		return
+	}
+	if routes == nil || (d.routes != nil && routes.Version() <= d.routes.Version()) {
+		return
+	}
+	d.routes = routes
+	for i := range documents {
+		d.takeDocument(&documents[i], routes, now)
+	}
+	d.platLog.Info("configuration in force", "Version", routes.Version(), "Services", len(documents))
+	d.events.Add(event.Event{Kind: "ConfigurationInForce"})
+	d.recomputeHolding(d.aliveHosts(now))
+	d.becomeReadyByFacts()
+}
+
+// takeDocument puts the document of a service in force; d.mu is held.
+func (d *Daemon) takeDocument(document *spec.Document, routes *table.Table, now time.Time) {
+	s, found := d.services[document.Service]
+	if !found {
+		s = newService(d, document.Service, document)
+		d.services[document.Service] = s
+	} else if reflect.DeepEqual(s.document, *document) {
+		s.version = routes.Version()
+		return
+	}
+	s.setDocument(now, document, routes.Version())
+}
+
+// takeTargets replaces the targets; d.mu is held.
+func (d *Daemon) takeTargets(newest []facts.Fact, now time.Time) {
+	hosts, problems := d.adapter.Decoder.Targets(newest)
+	for _, problem := range problems {
+		d.counters.rowsRefused.Inc()
+		d.platLog.Debug("entry of a target is malformed and names none", "Error", problem.Error())
+	}
+	d.noteTargets(hosts)
+	d.hosts = hosts
+	d.recomputeHolding(d.aliveHosts(now))
+	d.becomeReadyByFacts()
+}
+
+// noteTargets logs the targets that joined, left or changed their state; d.mu is held.
+func (d *Daemon) noteTargets(hosts []plat.Host) {
+	before := make(map[string]plat.Host, len(d.hosts))
+	for i := range d.hosts {
+		before[d.hosts[i].Name] = d.hosts[i]
+	}
+	for i := range hosts {
+		h := &hosts[i]
+		known, found := before[h.Name]
+		delete(before, h.Name)
+		if !found || known.State != h.State || known.Address != h.Address {
+			d.platLog.Info("target listed", "Target", h.Name, "Service", h.Service, "Address", h.Address, "State", h.State)
+		}
+	}
+	for name := range before {
+		d.platLog.Info("target gone from the list", "Target", name)
+	}
+}
+
+// becomeReadyByFacts lets a host serve that knows the configuration and the targets; d.mu is held.
+func (d *Daemon) becomeReadyByFacts() {
+	if d.ready || d.routes == nil || !d.targets.topic.IsKnown() {
+		return
+	}
+	d.becomeReady("configuration and targets are known")
+	close(d.known)
+}
+
+// runLapses drops the entries that lapsed in an outage and did not come back.
+func (d *Daemon) runLapses() {
+	ticker := time.NewTicker(lapseGrace / 10)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case now := <-ticker.C:
+			d.mu.Lock()
+			if d.targets.lapse.IsOver(now) {
+				d.putInForce(d.targets, now)
+			}
+			d.mu.Unlock()
+		}
+	}
+}
+
+// learnFacts asks another host for what it knows beyond this host's knowledge.
+func (d *Daemon) learnFacts(f *followed, address string) {
+	d.mu.Lock()
+	if f.isAsking {
+		d.mu.Unlock()
+		return
+	}
+	f.isAsking = true
+	from := f.topic.Through()
+	d.mu.Unlock()
+	ctx, cancel := context.WithTimeout(d.ctx, factsTimeout)
+	defer cancel()
+	delta, err := d.peers.Facts(ctx, address, f.name, from)
+	d.mu.Lock()
+	f.isAsking = false
+	d.mu.Unlock()
+	if err != nil {
+		d.peerLog.Debug("asking another host for facts failed", "Peer", address, "Topic", f.name, "Error", err.Error())
+		return
+	}
+	d.takeDelta(f, &delta, address)
+}
+
+// Facts implements peer.Handler.
+func (d *Daemon) Facts(topic string, from uint64) (facts.Delta, bool) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f := d.topic(topic)
+	if f == nil || !f.topic.IsKnown() {
+		return facts.Delta{}, false
+	}
+	return f.topic.Since(now, from), true
+}
+
+// topic returns a followed topic by name, or nil.
+func (d *Daemon) topic(name string) *followed {
+	for _, f := range []*followed{d.configuration, d.targets} {
+		if f.name == name {
+			return f
+		}
+	}
+	return nil
+}
+
+// meet makes this host known in the store and looks for others there if the
+// seeds of the settings led to none.
+func (d *Daemon) meet() {
+	retry := storeRetryFirst
+	for d.ctx.Err() == nil {
+		err := d.announce()
+		if err == nil {
+			break
+		}
+		d.platLog.Debug("announcing this host in the store failed; it is tried again", "Error", err.Error())
+		d.pause(retry)
+		retry = min(2*retry, storeRetryMost)
+	}
+	d.pause(meetAfter)
+	d.mu.Lock()
+	isAlone := len(d.members.Members(time.Now())) < 2
+	d.mu.Unlock()
+	if isAlone {
+		d.meetThroughStore()
+	}
+}
+
+func (d *Daemon) announce() error {
+	ctx, cancel := context.WithTimeout(d.ctx, storeTimeout)
+	defer cancel()
+	err := d.adapter.Store.Announce(ctx, d.settings.Name, []byte(d.settings.PeerAdvertised))
+	d.counters.storeCall(TopicEntryHosts, err)
+	return err
+}
+
+func (d *Daemon) meetThroughStore() {
+	ctx, cancel := context.WithTimeout(d.ctx, storeTimeout)
+	defer cancel()
+	delta, err := d.adapter.Store.Newest(ctx, TopicEntryHosts)
+	d.counters.storeCall(TopicEntryHosts, err)
+	if err != nil {
+		d.platLog.Warn("looking for other entry hosts in the store failed", "Error", err.Error())
+		return
+	}
+	hosts := make([]plat.Host, 0, len(delta.Facts))
+	for _, f := range delta.Facts {
+		hosts = append(hosts, plat.Host{Name: f.Key, Role: plat.RoleEntry, Address: string(f.Value), State: plat.StateLive})
+	}
+	d.mu.Lock()
+	d.met = hosts
+	d.mu.Unlock()
+	d.contactSeeds()
+}
+
+// steered lists the hosts that callers are steered to, in the order in which
+// they read the store; d.mu is held.
+func (d *Daemon) steered(hosts []steer.Host) []steer.Host {
+	slots := 0
+	for i := range d.hosts {
+		slots += d.hosts[i].Slots
+	}
+	count := max(d.settings.SteeredHosts, (slots+d.settings.SlotsPerHost-1)/d.settings.SlotsPerHost)
+	return steer.Holders("", hosts, count)
+}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -43,8 +43,9 @@
 	addresses := slices.Clone(d.settings.Peers)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for i := range d.hosts {
-		h := &d.hosts[i]
+	listed := append(slices.Clone(d.hosts), d.met...)
+	for i := range listed {
+		h := &listed[i]
 		if h.Role == plat.RoleEntry && h.State == plat.StateLive && !slices.Contains(addresses, h.Address) {
 			addresses = append(addresses, h.Address)
 		}
@@ -245,11 +246,33 @@
 
 // recomputeHolding takes a changed list of targets or documents into account; d.mu is held.
 func (d *Daemon) recomputeHolding(hosts []steer.Host) {
+	if d.adapter.Store != nil {
+		d.recomputeSteered(hosts)
+		return
+	}
 	for _, s := range d.services {
 		s.setTargets(time.Now(), d.hosts, steer.Holders(s.name, hosts, s.document.Holders))
 	}
 }
 
+// recomputeSteered decides which hosts callers are steered to; these hold every
+// service, because the requests of one caller go to several; d.mu is held.
+func (d *Daemon) recomputeSteered(hosts []steer.Host) {
+	steered := d.steered(hosts)
+	if !slices.Equal(steered, d.steeredNow) {
+		names := make([]string, 0, len(steered))
+		for _, h := range steered {
+			names = append(names, h.Name)
+		}
+		d.log.Info("callers are steered to other hosts", "Hosts", names, "Alive", len(hosts))
+	}
+	d.steeredNow = steered
+	d.place = d.placeOf(steered)
+	for _, s := range d.services {
+		s.setTargets(time.Now(), d.hosts, steered)
+	}
+}
+
 // aliveHosts lists the members that callers may be sent to; d.mu is held.
 func (d *Daemon) aliveHosts(now time.Time) []steer.Host {
 	alive := d.members.Alive(now)
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -21,6 +21,8 @@
 	bodyKeptBytes = 64 << 10
 	// answerKeptBytes is how much of an answer is read before it counts as won.
 	answerKeptBytes = 256 << 10
+	// lastCall is how much longer than the deadline an answer that is on its way is waited for.
+	lastCall = 30 * time.Millisecond
 	// rescueLeast is the shortest wait for a first byte before a connection counts as silent.
 	rescueLeast = 250 * time.Millisecond
 )
@@ -61,7 +63,7 @@
 // run serves a request at a target of the service and writes the answer.
 func (s *service) run(ctx context.Context, request *route.Request, w http.ResponseWriter) error {
 	s.metrics.requests.Inc()
-	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, request.Deadline.Add(lastCall))
 	defer cancel()
 	body, err := newReplayBody(request)
 	if err != nil {
@@ -70,6 +72,9 @@
 	s.daemon.mu.Lock()
 	attempts := s.document.AttemptsAtMost
 	s.daemon.mu.Unlock()
+	if request.Terms != nil {
+		attempts = request.Terms.AttemptsAtMost
+	}
 	r := &run{
 		service:  s,
 		request:  request,
@@ -79,13 +84,19 @@
 		attempts: make(map[int]*attempt),
 		body:     body,
 	}
-	r.decisions = s.arrive(choose.Request{
+	arrival := choose.Request{
 		ID:             r.id,
 		Idempotent:     request.IsIdempotent(),
 		Deadline:       request.Deadline,
 		Single:         request.Header.Get(header.Retry) == "true",
 		AttemptsAtMost: attempts,
-	})
+	}
+	if request.Terms != nil {
+		arrival.Class = request.Terms.Class
+		arrival.Priority = request.Terms.Priority
+		arrival.Objective = request.Terms.Objective
+	}
+	r.decisions = s.arrive(arrival)
 	defer r.release()
 	won, failed := r.loop(ctx)
 	if failed != nil {
@@ -128,7 +139,7 @@
 			if t.refusal == "" {
 				r.start(ctx, t.grant, hedge, rescue)
 			} else if r.running == 0 {
-				return nil, r.refused(t.refusal)
+				return nil, r.refused(t.refusal).WithRetryAfter(t.retryAfter)
 			}
 		case got := <-r.results:
 			r.running--
@@ -192,8 +203,9 @@
 	if !r.rescued {
 		rescue.Reset(r.rescueAfter(grant))
 	}
-	client, address := r.service.transport(grant.Target)
+	client, address, sparesNew := r.service.transport(grant.Target)
 	outgoing := r.outgoing(grant, address)
+	outgoing.NewConnection = grant.Attempt > 1 || (sparesNew && !r.request.IsIdempotent())
 	go func() { r.results <- send(ctx, client, grant, outgoing) }()
 }
 
@@ -219,7 +231,7 @@
 		Body:          r.body.reader(),
 		ContentLength: r.request.ContentLength,
 		Deadline:      r.request.Deadline,
-		NewConnection: grant.Attempt > 1 && r.rescued,
+		Instance:      grant.Target,
 	}
 }
 
@@ -339,9 +351,11 @@
 	for name, values := range route.EndToEnd(a.Header) {
 		h[name] = values
 	}
-	h.Set(header.Verdict, a.Verdict.String())
-	h.Set(header.Target, won.target)
-	h.Set(header.RequestID, r.request.ID)
+	if r.request.Terms == nil {
+		h.Set(header.Verdict, a.Verdict.String())
+		h.Set(header.Target, won.target)
+		h.Set(header.RequestID, r.request.ID)
+	}
 	w.WriteHeader(a.Status)
 	if _, err := w.Write(won.prefix); err != nil {
 		return r.cut(won, err)
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -25,6 +25,9 @@
 // Serve answers one request of a caller or of another entry host. It returns
 // route.ErrCut if the answer broke off after its head, and nil otherwise.
 func (d *Daemon) Serve(ctx context.Context, request *route.Request, w http.ResponseWriter) error {
+	if request.Terms != nil {
+		return d.serveRouted(ctx, request, w)
+	}
 	w.Header().Set(header.RequestID, request.ID)
 	err := d.serve(ctx, request, w)
 	if err == nil || errors.Is(err, route.ErrCut) {
@@ -36,6 +39,21 @@
 	return nil
 }
 
+// serveRouted serves a request that a route has brought to its service, at this
+// host. Errors are route.ErrCut or *fault.Error; the latter is left to the caller's door.
+func (d *Daemon) serveRouted(ctx context.Context, request *route.Request, w http.ResponseWriter) error {
+	s, err := d.lookup(request)
+	if err == nil {
+		err = s.run(ctx, request, w)
+	}
+	if err == nil || errors.Is(err, route.ErrCut) {
+		return err
+	}
+	failed := route.AsFault(err)
+	d.noteFault(request, failed)
+	return failed
+}
+
 func (d *Daemon) noteFault(request *route.Request, failed *fault.Error) {
 	d.events.Add(event.Event{Kind: "RequestFailed", Service: request.Service, Request: request.ID, Cause: failed.Error()})
 	d.metrics.GetOrCreateCounter(`curranttiller_faults_total{verdict="` + failed.Verdict.String() + `",reason="` + failed.Reason + `"}`).Inc()
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"gitlab.com/curranttiller/curranttiller/internal/beacon"
 	"gitlab.com/curranttiller/curranttiller/internal/plat"
 	"gitlab.com/curranttiller/curranttiller/internal/target"
 	"gitlab.com/curranttiller/curranttiller/pkg/budget"
@@ -16,6 +17,10 @@
 	"gitlab.com/curranttiller/curranttiller/pkg/steer"
 )
 
+// newConnectionShare is the share of connections from which non-idempotent
+// requests get new ones, on which no answer to another request can be left over.
+const newConnectionShare = 16
+
 // notePeriod is how often targets that went out of use are looked for, for the time line.
 const notePeriod = 200 * time.Millisecond
 
@@ -23,6 +28,8 @@
 type decision struct {
 	grant   choose.Grant
 	refusal string
+	// retryAfter is when a refused request may be served.
+	retryAfter time.Duration
 }
 
 // service is the shell around the pool of one service.
@@ -41,6 +48,8 @@
 	client    *target.Client
 	limits    target.Limits
 	addresses map[string]string
+	// ids are the names of targets by their short form in beacons.
+	ids       map[uint32]string
 	decisions map[uint64]chan decision
 	probes    map[string]*budget.Share
 	ejected   map[string]bool
@@ -75,12 +84,14 @@
 		metrics:   newServiceMetrics(d.metrics, name),
 		pool:      choose.New(poolSettings(document, d.settings.FailureDomain), d.incarnation, now),
 		limits:    clientLimits(document),
+		current:   *document,
 		addresses: make(map[string]string),
+		ids:       make(map[uint32]string),
 		decisions: make(map[uint64]chan decision),
 		probes:    make(map[string]*budget.Share),
 		ejected:   make(map[string]bool),
 	}
-	s.client = target.NewClient(s.limits)
+	s.client = target.NewClient(s.limits, d.adapter.Wire)
 	return s
 }
 
@@ -100,6 +111,8 @@
 		BusyShare:         document.BusyShare,
 		QuietAfter:        document.QuietAfter,
 		FailureDomain:     failureDomain,
+		ExtraBurst:        document.ExtraBurst,
+		RescuesCount:      document.Policy == spec.PolicySpeed,
 	}
 }
 
@@ -109,14 +122,16 @@
 	s.version = version
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.current = *document
 	if limits := clientLimits(document); limits != s.limits {
 		s.client.Close()
 		s.limits = limits
-		s.client = target.NewClient(limits)
+		s.client = target.NewClient(limits, s.daemon.adapter.Wire)
+	}
+	if document.ProbeShare() != s.current.ProbeShare() || document.ProbeWindow != s.current.ProbeWindow {
+		// A changed budget starts with nothing saved up.
+		s.probes = make(map[string]*budget.Share)
 	}
-	// A changed budget starts with nothing saved up.
-	s.probes = make(map[string]*budget.Share)
+	s.current = *document
 	s.deliver(s.pool.SetSettings(poolSettings(document, s.daemon.settings.FailureDomain), now))
 }
 
@@ -134,13 +149,18 @@
 		}
 		s.addresses[h.Name] = h.Address
 		all = append(all, steer.Target{Name: h.Name, FailureDomain: h.FailureDomain})
-		targets = append(targets, choose.Target{Name: h.Name, FailureDomain: h.FailureDomain, Leaving: h.State == plat.StateLeaving})
+		s.ids[beacon.TargetID(h.Name)] = h.Name
+		targets = append(targets, choose.Target{
+			Name: h.Name, FailureDomain: h.FailureDomain, Leaving: h.State == plat.StateLeaving, Slots: h.Slots, ColdUntil: h.ColdUntil,
+		})
 	}
 	held := make(map[string]bool)
-	for _, t := range steer.Held(s.name, all, holders, s.daemon.settings.Name) {
-		held[t.Name] = true
+	if s.document.Policy == spec.PolicyHeld || s.daemon.isHolder(s) {
+		for _, t := range steer.Held(s.name, all, holders, s.daemon.settings.Name) {
+			held[t.Name] = true
+		}
 	}
-	isPartitioned := s.document.Policy == spec.PolicyHeld
+	isPartitioned := s.document.Policy == spec.PolicyHeld || s.document.Policy == spec.PolicySpeed
 	for i := range targets {
 		targets[i].Spare = isPartitioned && !held[targets[i].Name]
 	}
@@ -153,7 +173,7 @@
 		s.deliverDecision(grant.Request, decision{grant: grant})
 	}
 	for _, refusal := range actions.Refusals {
-		s.deliverDecision(refusal.Request, decision{refusal: refusal.Reason})
+		s.deliverDecision(refusal.Request, decision{refusal: refusal.Reason, retryAfter: refusal.RetryAfter})
 	}
 }
 
@@ -220,11 +240,12 @@
 	s.deliver(s.pool.Release(time.Now(), id))
 }
 
-// transport returns the client and the address of a target.
-func (s *service) transport(name string) (client *target.Client, address string) {
+// transport returns the client and the address of a target, and whether there
+// are connections enough to give each non-idempotent request a new one.
+func (s *service) transport(name string) (client *target.Client, address string, sparesNew bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.client, s.addresses[name]
+	return s.client, s.addresses[name], s.limits.Connections >= newConnectionShare
 }
 
 // tick lets time pass in the pool and returns the targets to probe.
@@ -240,6 +261,8 @@
 	for _, name := range s.pool.Probes(now) {
 		if s.share(name, now).Spend(now) {
 			due = append(due, name)
+		} else {
+			s.pool.ProbeSkipped(name)
 		}
 	}
 	return due
--- /dev/null
+++ b/internal/entry/sight.go
@@ -0,0 +1,244 @@
+package entry
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"gitlab.com/curranttiller/curranttiller/internal/beacon"
+	"gitlab.com/curranttiller/curranttiller/pkg/choose"
+	"gitlab.com/curranttiller/curranttiller/pkg/steer"
+)
+
+const (
+	// sightPeriod is the time between two beacons to hosts that callers are steered to; it is short against the time for which a target's speed lasts.
+	sightPeriod = 50 * time.Millisecond
+	// extentPeriod is the time between two beacons to the other hosts; their knowledge of the store must not seem too old.
+	extentPeriod = 400 * time.Millisecond
+	// sleepNotable is how far the time awake may fall behind the time passed before the host counts as having slept.
+	sleepNotable = 200 * time.Millisecond
+)
+
+// beaconNow asks for a beacon to every host at once, because something changed.
+func (d *Daemon) beaconNow() {
+	select {
+	case d.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// runBeacons tells other hosts what this host knows and sees.
+func (d *Daemon) runBeacons() {
+	ticker := time.NewTicker(sightPeriod)
+	defer ticker.Stop()
+	var told time.Time
+	slept := sleptTime()
+	for {
+		isUrgent := false
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-d.urgent:
+			isUrgent = true
+		case <-ticker.C:
+		}
+		if now := sleptTime(); now-slept > sleepNotable {
+			slept = now
+			d.doubtFacts()
+		}
+		now := time.Now()
+		isForAll := isUrgent || now.Sub(told) >= extentPeriod
+		if isForAll {
+			told = now
+		}
+		d.sendBeacons(now, isForAll, isUrgent)
+	}
+}
+
+// sleptTime is how long the machine was suspended since it started; the steady
+// clock does not count that time.
+func sleptTime() time.Duration {
+	var boot, steady unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) != nil || unix.ClockGettime(unix.CLOCK_MONOTONIC, &steady) != nil {
+		return 0
+	}
+	return time.Duration(boot.Nano() - steady.Nano())
+}
+
+// doubtFacts makes this host read the store again after it was suspended.
+func (d *Daemon) doubtFacts() {
+	d.log.Warn("host was suspended; what it knows is read again")
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, f := range []*followed{d.configuration, d.targets} {
+		f.topic.Doubt(time.Now(), storeTurn.Most)
+	}
+}
+
+// sendBeacons sends what steered hosts see to each other, and how far the store
+// is known to all hosts. A host that callers are not steered to tells nothing,
+// unless it has news.
+func (d *Daemon) sendBeacons(now time.Time, isForAll, isUrgent bool) {
+	d.mu.Lock()
+	if d.place != 0 && d.place >= len(d.steeredNow) && !isUrgent {
+		d.mu.Unlock()
+		return
+	}
+	services := make([]*service, 0, len(d.services))
+	for _, s := range d.services {
+		services = append(services, s)
+	}
+	extents := d.extents(now)
+	d.beacons++
+	message := &beacon.Message{Sender: d.settings.Name, Incarnation: d.incarnation, Sequence: d.beacons, Topics: extents}
+	near, far := d.beaconAddresses(now)
+	d.mu.Unlock()
+	if isForAll {
+		d.sendBeacon(message, far)
+	}
+	if len(near) == 0 {
+		return
+	}
+	for _, s := range services {
+		if sight := s.sight(now); len(sight.Targets) > 0 {
+			message.Services = append(message.Services, sight)
+		}
+	}
+	if isForAll || len(message.Services) > 0 {
+		d.sendBeacon(message, near)
+	}
+}
+
+func (d *Daemon) sendBeacon(message *beacon.Message, addresses []string) {
+	if len(addresses) == 0 {
+		return
+	}
+	datagram, err := beacon.Encode(message)
+	if err != nil {
+		d.peerLog.Error("encoding a beacon failed", "Error", err.Error())
+		return
+	}
+	for _, address := range addresses {
+		d.counters.beaconsSent.Inc()
+		d.control.Add(int64(len(datagram)))
+		d.socket.Send(address, datagram)
+	}
+}
+
+// extents lists how far the topics are known; d.mu is held.
+func (d *Daemon) extents(now time.Time) []beacon.Extent {
+	var extents []beacon.Extent
+	for _, f := range []*followed{d.configuration, d.targets} {
+		if f.topic.IsKnown() {
+			extents = append(extents, beacon.Extent{Topic: f.name, Through: f.topic.Through(), Age: f.topic.Age(now)})
+		}
+	}
+	return extents
+}
+
+// beaconAddresses returns the addresses of the other steered hosts and of all
+// the rest; d.mu is held.
+func (d *Daemon) beaconAddresses(now time.Time) (near, far []string) {
+	isSteered := make(map[string]bool, len(d.steeredNow))
+	for _, h := range d.steeredNow {
+		isSteered[h.Name] = true
+	}
+	for _, m := range d.members.Alive(now) {
+		switch {
+		case m.Name == d.settings.Name || m.BeaconAddress == "":
+		case isSteered[m.Name]:
+			near = append(near, m.BeaconAddress)
+		default:
+			far = append(far, m.BeaconAddress)
+		}
+	}
+	return near, far
+}
+
+// receiveBeacon takes what another host knows and sees.
+func (d *Daemon) receiveBeacon(m *beacon.Message) {
+	now := time.Now()
+	d.control.Add(beaconBytes)
+	d.peerContact.Store(now.UnixNano())
+	d.mu.Lock()
+	sender, found := d.members.Lookup(now, m.Sender)
+	if !found || sender.Incarnation != m.Incarnation {
+		d.mu.Unlock()
+		return
+	}
+	for _, extent := range m.Topics {
+		d.takeExtent(extent, sender.PeerAddress, now)
+	}
+	services := make(map[string]*service, len(m.Services))
+	for _, sight := range m.Services {
+		services[sight.Service] = d.services[sight.Service]
+	}
+	d.mu.Unlock()
+	for i := range m.Services {
+		if s := services[m.Services[i].Service]; s != nil {
+			s.see(now, m.Sender, &m.Services[i])
+		}
+	}
+}
+
+// beaconBytes is what a received beacon counts as, roughly.
+const beaconBytes = 200
+
+// takeExtent confirms what is known, or asks the sender for what it knows
+// beyond that; d.mu is held.
+func (d *Daemon) takeExtent(extent beacon.Extent, address string, now time.Time) {
+	f := d.topic(extent.Topic)
+	if f == nil {
+		return
+	}
+	if extent.Through > f.topic.Through() || !f.topic.IsKnown() {
+		if !f.isAsking {
+			d.done.Go(func() { d.learnFacts(f, address) })
+		}
+		return
+	}
+	if extent.Through == f.topic.Through() {
+		f.lapse.Note(now, f.topic)
+		f.topic.Confirm(now, extent.Through, extent.Age)
+	}
+}
+
+// sight returns what this host sees of the targets of the service.
+func (s *service) sight(now time.Time) beacon.Sight {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sight := beacon.Sight{Service: s.name}
+	for _, seen := range s.pool.Sightings(now) {
+		sight.Targets = append(sight.Targets, beacon.Seen{
+			ID: beacon.TargetID(seen.Target), InFlight: seen.InFlight, Slowdown: seen.Slowdown, Age: seen.Age,
+		})
+	}
+	return sight
+}
+
+// see takes what another host sees of the targets of the service.
+func (s *service) see(now time.Time, host string, sight *beacon.Sight) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seen := make([]choose.Sighting, 0, len(sight.Targets))
+	for _, t := range sight.Targets {
+		if name, known := s.ids[t.ID]; known {
+			seen = append(seen, choose.Sighting{Target: name, InFlight: t.InFlight, Slowdown: t.Slowdown, Age: t.Age})
+		}
+	}
+	s.deliver(s.pool.See(now, host, seen))
+}
+
+// placeOf returns the place of this host among the steered ones, or a place
+// behind all of them; d.mu is held.
+func (d *Daemon) placeOf(steered []steer.Host) int {
+	for i, h := range steered {
+		if h.Name == d.settings.Name {
+			return i
+		}
+	}
+	return len(steered) + int(d.incarnation%placeSpread)
+}
+
+// placeSpread keeps the hosts that callers are not steered to from reading the store all at once.
+const placeSpread = 8
--- a/internal/entry/timers.go
+++ b/internal/entry/timers.go
@@ -4,23 +4,27 @@
 	"time"
 
 	"gitlab.com/curranttiller/curranttiller/pkg/event"
+	"gitlab.com/curranttiller/curranttiller/pkg/spec"
 )
 
 const (
-	poolTick     = 20 * time.Millisecond
+	poolTick = 20 * time.Millisecond
+	// idleTick is the tick of a host that callers are not steered to.
+	idleTick     = 250 * time.Millisecond
 	probeTimeout = time.Second
 )
 
 // runTimers lets time pass in the pools and sends the probes that they want.
 func (d *Daemon) runTimers() {
-	ticker := time.NewTicker(poolTick)
-	defer ticker.Stop()
+	timer := time.NewTimer(poolTick)
+	defer timer.Stop()
 	for {
 		select {
 		case <-d.ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
+		timer.Reset(d.tickPeriod())
 		now := time.Now()
 		for _, s := range d.holdings() {
 			for _, name := range s.tick(now) {
@@ -30,13 +34,25 @@
 	}
 }
 
-// holdings lists the services that this host holds; only a holder probes.
+// tickPeriod is longer on a host that callers are not steered to.
+func (d *Daemon) tickPeriod() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.services {
+		if d.isHolder(s) {
+			return poolTick
+		}
+	}
+	return idleTick
+}
+
+// holdings lists the services whose pools need the time; only a holder probes.
 func (d *Daemon) holdings() []*service {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	held := make([]*service, 0, len(d.services))
 	for _, s := range d.services {
-		if d.isHolder(s) {
+		if d.isHolder(s) || s.document.Policy == spec.PolicySpeed {
 			held = append(held, s)
 		}
 	}
@@ -54,13 +70,13 @@
 }
 
 func (d *Daemon) probe(s *service, name string) {
-	client, address := s.transport(name)
+	client, address, _ := s.transport(name)
 	if address == "" {
 		return
 	}
 	d.counters.probes.Inc()
 	s.metrics.probes.Inc()
-	report := client.Probe(d.ctx, address, probeTimeout)
+	report := client.Probe(d.ctx, s.name, address, name, probeTimeout)
 	if report == nil {
 		d.events.Add(event.Event{Kind: "ProbeFailed", Service: s.name, Target: name})
 	}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -92,6 +92,9 @@
 	})
 }
 
+// Leave does nothing: callers of the project's own protocol learn of a stop from the directory.
+func (s *Server) Leave() {}
+
 // Close refuses new connections, waits up to wait for requests in flight, and cuts the rest.
 func (s *Server) Close(wait time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -18,6 +18,7 @@
 
 	"gitlab.com/curranttiller/curranttiller/internal/peerpb"
 	"gitlab.com/curranttiller/curranttiller/internal/route"
+	"gitlab.com/curranttiller/curranttiller/pkg/facts"
 	"gitlab.com/curranttiller/curranttiller/pkg/fault"
 	"gitlab.com/curranttiller/curranttiller/pkg/ledger"
 )
@@ -86,6 +87,8 @@
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepAliveTime, Timeout: keepAliveWait}),
 		grpc.WithStatsHandler(byteCounter{p.control}),
+		grpc.WithReadBufferSize(bufferBytes),
+		grpc.WithWriteBufferSize(bufferBytes),
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithNoProxy(),
@@ -136,6 +139,19 @@
 	return documentsFromWire(reply), nil
 }
 
+// Facts asks the host at an address what it knows of a topic from an offset on.
+func (p *Pool) Facts(ctx context.Context, address, topic string, from uint64) (facts.Delta, error) {
+	client, err := p.client(address)
+	if err != nil {
+		return facts.Delta{}, err
+	}
+	reply, err := client.Facts(ctx, &peerpb.FactsRequest{Protocol: Protocol, Topic: topic, From: from})
+	if err != nil {
+		return facts.Delta{}, eris.Wrapf(err, "facts of topic %s from %s", topic, address)
+	}
+	return factsFromWire(reply), nil
+}
+
 // Forward passes a request to the host at an address and copies its answer to w.
 // A *fault.Error means that nothing was written to w; route.ErrCut means that the answer was cut.
 func (p *Pool) Forward(ctx context.Context, address string, request *route.Request, w http.ResponseWriter) error {
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -1,11 +1,13 @@
 package peer
 
 import (
+	"math"
 	"net/http"
 	"time"
 
 	"gitlab.com/curranttiller/curranttiller/internal/peerpb"
 	"gitlab.com/curranttiller/curranttiller/internal/route"
+	"gitlab.com/curranttiller/curranttiller/pkg/facts"
 	"gitlab.com/curranttiller/curranttiller/pkg/ledger"
 	"gitlab.com/curranttiller/curranttiller/pkg/member"
 )
@@ -70,14 +72,14 @@
 func memberToWire(i *member.Info) *peerpb.Member {
 	return &peerpb.Member{
 		Name: i.Name, Incarnation: i.Incarnation, Counter: i.Counter, FailureDomain: i.FailureDomain,
-		CallerAddress: i.CallerAddress, PeerAddress: i.PeerAddress, AdminAddress: i.AdminAddress, Leaving: i.Leaving,
+		CallerAddress: i.CallerAddress, PeerAddress: i.PeerAddress, AdminAddress: i.AdminAddress, BeaconAddress: i.BeaconAddress, Leaving: i.Leaving,
 	}
 }
 
 func memberFromWire(m *peerpb.Member) member.Info {
 	return member.Info{
 		Name: m.GetName(), Incarnation: m.GetIncarnation(), Counter: m.GetCounter(), FailureDomain: m.GetFailureDomain(),
-		CallerAddress: m.GetCallerAddress(), PeerAddress: m.GetPeerAddress(), AdminAddress: m.GetAdminAddress(), Leaving: m.GetLeaving(),
+		CallerAddress: m.GetCallerAddress(), PeerAddress: m.GetPeerAddress(), AdminAddress: m.GetAdminAddress(), BeaconAddress: m.GetBeaconAddress(), Leaving: m.GetLeaving(),
 	}
 }
 
@@ -136,3 +138,20 @@
 		Forwarded: true,
 	}
 }
+
+func factsToWire(d *facts.Delta) *peerpb.FactsReply {
+	reply := &peerpb.FactsReply{Through: d.Through, Whole: d.Whole, AgeMillis: uint32(min(max(d.Age.Milliseconds(), 0), math.MaxUint32))}
+	for i := range d.Facts {
+		f := &d.Facts[i]
+		reply.Facts = append(reply.Facts, &peerpb.Fact{Key: f.Key, Offset: f.Offset, Value: f.Value, Removed: f.Removed})
+	}
+	return reply
+}
+
+func factsFromWire(reply *peerpb.FactsReply) facts.Delta {
+	d := facts.Delta{Through: reply.GetThrough(), Whole: reply.GetWhole(), Age: time.Duration(reply.GetAgeMillis()) * time.Millisecond}
+	for _, f := range reply.GetFacts() {
+		d.Facts = append(d.Facts, facts.Fact{Key: f.GetKey(), Offset: f.GetOffset(), Value: f.GetValue(), Removed: f.GetRemoved()})
+	}
+	return d
+}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
@@ -21,6 +22,7 @@
 	"gitlab.com/curranttiller/curranttiller/internal/peer"
 	"gitlab.com/curranttiller/curranttiller/internal/peerpb"
 	"gitlab.com/curranttiller/curranttiller/internal/route"
+	"gitlab.com/curranttiller/curranttiller/pkg/facts"
 	"gitlab.com/curranttiller/curranttiller/pkg/fault"
 	"gitlab.com/curranttiller/curranttiller/pkg/ledger"
 )
@@ -34,6 +36,10 @@
 
 func (echo) Documents(map[ledger.Version]bool) peer.Documents { return peer.Documents{} }
 
+func (echo) Facts(topic string, from uint64) (facts.Delta, bool) {
+	return facts.Delta{Through: from + 1, Facts: []facts.Fact{{Key: "k", Offset: from, Value: []byte("v")}}}, topic == "known"
+}
+
 func (e echo) Serve(_ context.Context, request *route.Request, w http.ResponseWriter) error {
 	w.Header().Set("X-Path", request.URI)
 	w.WriteHeader(http.StatusTeapot)
@@ -110,3 +116,16 @@
 	_, err = client.Heartbeat(t.Context(), &peerpb.HeartbeatMessage{Protocol: peer.Protocol, Ids: []uint32{1, 2, 3}, Counters: []uint64{1}})
 	is.NoErr(err) // counts without a partner are left out
 }
+
+func TestFactsOfATopic(t *testing.T) {
+	is := is.New(t)
+	address := startServer(t, echo{})
+	pool := peer.NewPool(new(atomic.Int64))
+	defer pool.Close()
+	got, err := pool.Facts(t.Context(), address, "known", 4)
+	is.NoErr(err)
+	is.Equal(got.Through, uint64(5))
+	is.Equal(string(got.Facts[0].Value), "v")
+	_, err = pool.Facts(t.Context(), address, "unknown", 0)
+	is.Equal(status.Code(eris.Cause(err)), codes.NotFound)
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -17,15 +17,18 @@
 
 	"gitlab.com/curranttiller/curranttiller/internal/peerpb"
 	"gitlab.com/curranttiller/curranttiller/internal/route"
+	"gitlab.com/curranttiller/curranttiller/pkg/facts"
 	"gitlab.com/curranttiller/curranttiller/pkg/ledger"
 )
 
 const (
 	maxMessageBytes = 4 << 20
-	bodyPartBytes   = 32 << 10
-	keepAliveTime   = 10 * time.Second
-	keepAliveWait   = 3 * time.Second
-	keepAliveLeast  = 5 * time.Second
+	// bufferBytes is the size of a connection's buffers; control messages are short.
+	bufferBytes    = 4 << 10
+	bodyPartBytes  = 32 << 10
+	keepAliveTime  = 10 * time.Second
+	keepAliveWait  = 3 * time.Second
+	keepAliveLeast = 5 * time.Second
 )
 
 // Handler is what a host does for its peers.
@@ -34,6 +37,8 @@
 	Heartbeat(heartbeat *Heartbeat) Heartbeat
 	// Documents returns the host's claim and the texts of versions that are not in known.
 	Documents(known map[ledger.Version]bool) Documents
+	// Facts returns what the host knows of a topic from an offset on, and false if the topic is unknown.
+	Facts(topic string, from uint64) (facts.Delta, bool)
 	// Serve answers a forwarded request; an error means that the answer was cut.
 	Serve(ctx context.Context, request *route.Request, w http.ResponseWriter) error
 }
@@ -52,6 +57,8 @@
 	s := &Server{handler: handler}
 	s.grpc = grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.ReadBufferSize(bufferBytes),
+		grpc.WriteBufferSize(bufferBytes),
 		grpc.StatsHandler(byteCounter{control}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepAliveTime, Timeout: keepAliveWait}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepAliveLeast, PermitWithoutStream: true}),
@@ -107,6 +114,18 @@
 	}, nil
 }
 
+// Facts implements peerpb.PeerServer.
+func (s *Server) Facts(_ context.Context, request *peerpb.FactsRequest) (*peerpb.FactsReply, error) {
+	if err := checkProtocol(request.GetProtocol()); err != nil {
+		return nil, err
+	}
+	delta, known := s.handler.Facts(request.GetTopic(), request.GetFrom())
+	if !known {
+		return nil, status.Errorf(codes.NotFound, "topic %s is not known here", request.GetTopic())
+	}
+	return factsToWire(&delta), nil
+}
+
 // Forward implements peerpb.PeerServer.
 func (s *Server) Forward(stream grpc.BidiStreamingServer[peerpb.ForwardPart, peerpb.ForwardPart]) error {
 	part, err := stream.Recv()
--- a/internal/plat/api.go
+++ b/internal/plat/api.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -55,6 +56,10 @@
 	Address       string
 	FailureDomain string
 	State         string
+	// Slots is the number of requests that a target works on at once; zero if the list does not say.
+	Slots int `json:",omitempty"`
+	// ColdUntil is when a target that has just started works at its usual speed.
+	ColdUntil time.Time `json:",omitzero"`
 }
 
 // Check returns why a row cannot be used, or nil.
--- a/internal/route/request.go
+++ b/internal/route/request.go
@@ -12,6 +12,7 @@
 
 	"gitlab.com/curranttiller/curranttiller/pkg/fault"
 	"gitlab.com/curranttiller/curranttiller/pkg/header"
+	"gitlab.com/curranttiller/curranttiller/pkg/table"
 )
 
 // ErrCut says that an answer broke off after its head was sent; the receiver's connection must be aborted.
@@ -31,12 +32,17 @@
 	ContentLength int64
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
+	// Terms are what the operator's route grants the request, or nil without routes.
+	Terms *table.Terms
 	// Forwarded requests came from another entry host and are not passed on again.
 	Forwarded bool
 }
 
 // IsIdempotent reports whether the request may be sent more than once.
 func (r *Request) IsIdempotent() bool {
+	if r.Terms != nil {
+		return r.Terms.Idempotent
+	}
 	switch r.Method {
 	case http.MethodGet, http.MethodHead, http.MethodOptions:
 		return true
@@ -47,7 +53,7 @@
 
 // IsKeyed reports whether the request may be submitted again under its idempotency key.
 func (r *Request) IsKeyed() bool {
-	return !r.IsIdempotent() && r.Header.Get(header.IdempotencyKey) != ""
+	return r.Terms == nil && !r.IsIdempotent() && r.Header.Get(header.IdempotencyKey) != ""
 }
 
 var hopHeaders = []string{
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -8,13 +8,12 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"gitlab.com/curranttiller/curranttiller/pkg/choose"
 	"gitlab.com/curranttiller/curranttiller/pkg/fault"
-	"gitlab.com/curranttiller/curranttiller/pkg/header"
 )
 
 const (
@@ -23,7 +22,9 @@
 	keepAliveInterval = time.Second
 	keepAliveCount    = 3
 	maxHeaderBytes    = 64 << 10
-	copyBufferBytes   = 32 << 10
+	copyBufferBytes   = 4 << 10
+	// maxProbeBytes is the longest body of a probe's answer that is read.
+	maxProbeBytes = 4 << 10
 )
 
 // Limits are a host's share of the connections to each target.
@@ -46,6 +47,8 @@
 	Deadline time.Time
 	// NewConnection keeps the attempt off every connection used before.
 	NewConnection bool
+	// Instance is the incarnation of the target that is meant; it is empty if targets are known by address only.
+	Instance string
 }
 
 // Answer is the head of a target's answer and its unread body.
@@ -60,19 +63,40 @@
 	Verdict fault.Verdict
 }
 
+// Wire is the protocol that targets speak on top of HTTP.
+type Wire interface {
+	// Prepare writes what the target must know of an attempt into the head of its request.
+	Prepare(head http.Header, request *Request)
+	// Read tells what an answer means; an error says that it is no answer to the
+	// attempt, and the connection it came on is closed.
+	Read(response *http.Response, request *Request) (Meaning, *fault.Error)
+	// Probe returns the request that asks for the load of a target.
+	Probe(service, address, instance string) *Request
+}
+
+// Meaning is what the head of an answer says.
+type Meaning struct {
+	// Report is the target's load, or nil.
+	Report *choose.Report
+	// Verdict says whether the work ran.
+	Verdict fault.Verdict
+}
+
 // Client sends attempts to the targets of one service; it is safe for concurrent use.
 type Client struct {
+	wire   Wire
 	reused *http.Transport
 	fresh  *http.Transport
 	open   atomic.Int64
 }
 
-// NewClient returns a client with a share of the connections.
-func NewClient(limits Limits) *Client {
-	c := &Client{}
-	c.reused = c.transport(max(limits.Connections-1, 1))
+// NewClient returns a client with a share of the connections, for targets that speak a protocol.
+func NewClient(limits Limits, wire Wire) *Client {
+	c := &Client{wire: wire}
+	fresh := max(limits.Connections/4, 1)
+	c.reused = c.transport(max(limits.Connections-fresh, 1))
 	c.reused.IdleConnTimeout = limits.Fresh
-	c.fresh = c.transport(1)
+	c.fresh = c.transport(fresh)
 	c.fresh.DisableKeepAlives = true
 	return c
 }
@@ -128,7 +152,7 @@
 // *fault.Error whose verdict is NotRun only if no byte was or will be written.
 func (c *Client) Do(ctx context.Context, request *Request) (*Answer, error) {
 	var track tracker
-	outgoing, err := newOutgoing(httptrace.WithClientTrace(ctx, track.hooks()), request)
+	outgoing, err := c.newOutgoing(httptrace.WithClientTrace(ctx, track.hooks()), request)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.NotRun, http.StatusBadRequest, "BadRequest")
 	}
@@ -140,7 +164,20 @@
 	if err != nil {
 		return nil, track.classify(err)
 	}
-	return newAnswer(response)
+	meaning, failed := c.wire.Read(response, request)
+	if failed != nil {
+		_ = response.Body.Close()
+		track.drop()
+		return nil, failed
+	}
+	return &Answer{
+		Status:        response.StatusCode,
+		Header:        response.Header,
+		Body:          response.Body,
+		ContentLength: response.ContentLength,
+		Report:        meaning.Report,
+		Verdict:       meaning.Verdict,
+	}, nil
 }
 
 // tracker follows which connection an attempt got.
@@ -158,6 +195,13 @@
 	}}
 }
 
+// drop closes the connection, on which bytes of another answer may follow.
+func (t *tracker) drop() {
+	if t.conn != nil {
+		_ = t.conn.Close()
+	}
+}
+
 func (t *tracker) classify(err error) *fault.Error {
 	if t.conn == nil || !t.conn.seal(t.mark) {
 		return fault.Wrap(err, fault.NotRun, http.StatusServiceUnavailable, "TargetUnreachable")
@@ -181,13 +225,18 @@
 	return nil
 }
 
-func newOutgoing(ctx context.Context, request *Request) (*http.Request, error) {
+func (c *Client) newOutgoing(ctx context.Context, request *Request) (*http.Request, error) {
 	uri, err := url.ParseRequestURI(request.URI)
 	if err != nil {
 		return nil, err
 	}
 	uri.Scheme = "http"
 	uri.Host = request.Address
+	if !strings.HasPrefix(request.URI, "//") {
+		// The target gets the path and query to the letter.
+		uri.Opaque = request.URI
+		uri.RawQuery = ""
+	}
 	outgoing := &http.Request{
 		Method: request.Method,
 		URL:    uri,
@@ -195,8 +244,7 @@
 		Host:   request.Header.Get("Host"),
 	}
 	outgoing.Header.Del("Host")
-	left := max(time.Until(request.Deadline).Milliseconds(), 1)
-	outgoing.Header.Set(header.DeadlineMillis, strconv.FormatInt(left, 10))
+	c.wire.Prepare(outgoing.Header, request)
 	if request.Body != nil {
 		outgoing.Body = guardBody{request.Body}
 		outgoing.ContentLength = request.ContentLength
@@ -204,65 +252,20 @@
 	return outgoing.WithContext(ctx), nil
 }
 
-func newAnswer(response *http.Response) (*Answer, error) {
-	answer := &Answer{
-		Status:        response.StatusCode,
-		Header:        response.Header,
-		Body:          response.Body,
-		ContentLength: response.ContentLength,
-		Report:        parseReport(response.Header),
-		Verdict:       fault.Ran,
-	}
-	if response.Header.Get(header.Refused) == fault.NotRun.String() {
-		answer.Verdict = fault.NotRun
-		return answer, nil
-	}
-	if response.StatusCode >= http.StatusInternalServerError {
-		// The target does not say how far it came, or something between answered for it.
-		answer.Verdict = fault.MayHaveRun
-	}
-	if endsByClose(response) {
-		_ = response.Body.Close()
-		return nil, fault.New(fault.Ran, http.StatusBadGateway, "AnswerWithoutLength")
-	}
-	return answer, nil
-}
-
-// endsByClose reports whether only the end of the connection ends the body, so
-// that a cut answer could not be told from a whole one.
-func endsByClose(response *http.Response) bool {
-	isBodiless := response.Request != nil && response.Request.Method == http.MethodHead
-	return !isBodiless && response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.ProtoMajor == 1
-}
-
-func parseReport(from http.Header) *choose.Report {
-	running, err := strconv.Atoi(from.Get(header.Running))
-	if err != nil || running < 0 {
-		return nil
-	}
-	waiting, err := strconv.Atoi(from.Get(header.Waiting))
-	if err != nil || waiting < 0 {
-		return nil
-	}
-	return &choose.Report{Running: running, Waiting: waiting, Draining: from.Get(header.Draining) == "true"}
-}
-
-// Probe asks the target's load endpoint; nil means that it did not answer well.
-func (c *Client) Probe(ctx context.Context, address string, timeout time.Duration) *choose.Report {
+// Probe asks the target for its load; nil means that it did not answer well.
+func (c *Client) Probe(ctx context.Context, service, address, instance string, timeout time.Duration) *choose.Report {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	answer, err := c.Do(ctx, &Request{
-		Address:       address,
-		Method:        http.MethodGet,
-		URI:           "/load",
-		Header:        http.Header{},
-		Deadline:      time.Now().Add(timeout),
-		NewConnection: true,
-	})
+	request := c.wire.Probe(service, address, instance)
+	request.Deadline = time.Now().Add(timeout)
+	answer, err := c.Do(ctx, request)
 	if err != nil {
 		return nil
 	}
 	defer func() { _ = answer.Body.Close() }()
+	if _, err := io.CopyN(io.Discard, answer.Body, maxProbeBytes); !errors.Is(err, io.EOF) {
+		return nil
+	}
 	if answer.Status != http.StatusOK {
 		return nil
 	}
--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -70,7 +70,7 @@
 const okReply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 func newClient() *target.Client {
-	return target.NewClient(target.Limits{Connections: 4, Fresh: time.Minute})
+	return target.NewClient(target.Limits{Connections: 4, Fresh: time.Minute}, target.OwnWire{})
 }
 
 func request(s *script, method, body string) *target.Request {
--- /dev/null
+++ b/internal/target/wire.go
@@ -0,0 +1,64 @@
+package target
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"gitlab.com/curranttiller/curranttiller/pkg/choose"
+	"gitlab.com/curranttiller/curranttiller/pkg/fault"
+	"gitlab.com/curranttiller/curranttiller/pkg/header"
+)
+
+// loadPath is the load endpoint of targets that speak the project's own protocol.
+const loadPath = "/load"
+
+// OwnWire is the project's own protocol; see docs/TARGET.md.
+type OwnWire struct{}
+
+// Prepare implements Wire.
+func (OwnWire) Prepare(head http.Header, request *Request) {
+	left := max(time.Until(request.Deadline).Milliseconds(), 1)
+	head.Set(header.DeadlineMillis, strconv.FormatInt(left, 10))
+}
+
+// Read implements Wire.
+func (OwnWire) Read(response *http.Response, _ *Request) (Meaning, *fault.Error) {
+	meaning := Meaning{Report: parseReport(response.Header), Verdict: fault.Ran}
+	if response.Header.Get(header.Refused) == fault.NotRun.String() {
+		meaning.Verdict = fault.NotRun
+		return meaning, nil
+	}
+	if response.StatusCode >= http.StatusInternalServerError {
+		// The target does not say how far it came, or something between answered for it.
+		meaning.Verdict = fault.MayHaveRun
+	}
+	if EndsByClose(response) {
+		return Meaning{}, fault.New(fault.Ran, http.StatusBadGateway, "AnswerWithoutLength")
+	}
+	return meaning, nil
+}
+
+// Probe implements Wire.
+func (OwnWire) Probe(_, address, _ string) *Request {
+	return &Request{Address: address, Method: http.MethodGet, URI: loadPath, Header: http.Header{}, NewConnection: true}
+}
+
+// EndsByClose reports whether only the end of the connection ends the body, so
+// that a cut answer could not be told from a whole one.
+func EndsByClose(response *http.Response) bool {
+	isBodiless := response.Request != nil && response.Request.Method == http.MethodHead
+	return !isBodiless && response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.ProtoMajor == 1
+}
+
+func parseReport(from http.Header) *choose.Report {
+	running, err := strconv.Atoi(from.Get(header.Running))
+	if err != nil || running < 0 {
+		return nil
+	}
+	waiting, err := strconv.Atoi(from.Get(header.Waiting))
+	if err != nil || waiting < 0 {
+		return nil
+	}
+	return &choose.Report{Running: running, Waiting: waiting, Draining: from.Get(header.Draining) == "true"}
+}
--- /dev/null
+++ b/pkg/choose/pace.go
@@ -0,0 +1,118 @@
+package choose
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// paceFade is how fast a reported slowdown tends back to the usual one; neighbours on shared machines change several times a second.
+	paceFade = 400 * time.Millisecond
+	// errorFade is how fast a target's share of errors is forgotten.
+	errorFade = 3 * time.Second
+	// errorGain and errorRelief are how much one error or answer moves the share of errors.
+	errorGain   = 0.5
+	errorRelief = 0.8
+	// dragFade is how fast slowness that the target does not report is forgotten.
+	dragFade = 3 * time.Second
+	// dragGain is the weight of one answer in the drag.
+	dragGain = 0.3
+	// dragNotable is the drag from which a target counts as slower than it says; less is the spread of the work.
+	dragNotable = 1.6
+	dragMost    = 20
+	// remoteFade is how long the in-flight count of another host is believed.
+	remoteFade = 400 * time.Millisecond
+)
+
+// pace is what is known of how fast a target works now.
+type pace struct {
+	slowdown float64
+	at       time.Time
+	// own says that this host heard the slowdown itself.
+	own     bool
+	errors  float64
+	errorAt time.Time
+	// drag is the smoothed ratio of latencies to what the reports let expect.
+	drag    float64
+	dragAt  time.Time
+	probing bool
+	remote  map[string]remoteLoad
+}
+
+// remoteLoad is the number of requests that another host has at the target.
+type remoteLoad struct {
+	inFlight int
+	at       time.Time
+}
+
+func (p *pace) hear(at time.Time, slowdown float64, own bool) {
+	if slowdown <= 0 || !at.After(p.at) {
+		return
+	}
+	p.slowdown = slowdown
+	p.at = at
+	p.own = own
+}
+
+// expected is the slowdown to expect now: what was last heard, fading to the usual one.
+func (p *pace) expected(now time.Time, usual float64) float64 {
+	if p.slowdown == 0 {
+		return usual
+	}
+	weight := math.Exp(-float64(now.Sub(p.at)) / float64(paceFade))
+	return usual + weight*(p.slowdown-usual)
+}
+
+func (p *pace) failed(now time.Time) {
+	share := p.errorShare(now)
+	p.errors = share + errorGain*(1-share)
+	p.errorAt = now
+}
+
+func (p *pace) succeeded(now time.Time) {
+	p.errors = p.errorShare(now) * errorRelief
+	p.errorAt = now
+}
+
+func (p *pace) errorShare(now time.Time) float64 {
+	if p.errors == 0 {
+		return 0
+	}
+	return p.errors * math.Exp(-float64(now.Sub(p.errorAt))/float64(errorFade))
+}
+
+// lag takes the ratio of a latency to the expected one.
+func (p *pace) lag(now time.Time, ratio float64) {
+	known := p.dragged(now)
+	p.drag = known + dragGain*(min(ratio, dragMost)-known)
+	p.dragAt = now
+}
+
+// dragged is the drag, which tends back to one.
+func (p *pace) dragged(now time.Time) float64 {
+	if p.drag == 0 {
+		return 1
+	}
+	weight := math.Exp(-float64(now.Sub(p.dragAt)) / float64(dragFade))
+	return 1 + weight*(p.drag-1)
+}
+
+// remoteInFlight is the number of requests that other hosts have at the target.
+func (p *pace) remoteInFlight(now time.Time) int {
+	total := 0
+	for _, load := range p.remote {
+		if now.Sub(load.at) < remoteFade {
+			total += load.inFlight
+		}
+	}
+	return total
+}
+
+func (p *pace) setRemote(host string, inFlight int, at time.Time) {
+	if p.remote == nil {
+		p.remote = make(map[string]remoteLoad)
+	}
+	if known, found := p.remote[host]; !found || at.After(known.at) {
+		p.remote[host] = remoteLoad{inFlight: inFlight, at: at}
+	}
+}
--- a/pkg/choose/pool.go
+++ b/pkg/choose/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gitlab.com/curranttiller/curranttiller/pkg/budget"
+	"gitlab.com/curranttiller/curranttiller/pkg/spec"
 )
 
 const (
@@ -33,6 +34,8 @@
 type attempt struct {
 	target *state
 	sent   time.Time
+	// slowdown is the target's expected slowdown when the attempt was sent.
+	slowdown float64
 	// doubted attempts no longer hold a slot.
 	doubted bool
 }
@@ -66,6 +69,12 @@
 	// overloaded says that the wait has been too long for a while.
 	overloaded bool
 	scratch    []*state
+	// classes holds the work of each class of requests, for the policy Speed.
+	classes map[string]*typical
+	// usual is the smoothed slowdown that targets report.
+	usual float64
+	// granted is the smoothed slowdown at which requests were granted.
+	granted float64
 }
 
 // New returns a pool without targets.
@@ -75,21 +84,40 @@
 		requests: make(map[uint64]*pending),
 		waiting:  newQueue(),
 		typical:  newTypical(settings.HedgeQuantile, now),
-		extra:    budget.NewRatio(settings.ExtraAttemptShare, extraBurst),
+		extra:    newExtra(settings),
 		rng:      rand.New(rand.NewPCG(seed, uint64(settings.Slots))),
 		loadTime: now,
 		calm:     now,
+		classes:  make(map[string]*typical),
+		usual:    1,
+		granted:  1,
 	}
 }
 
+// reserve is the part of the saved extra attempts that hedges leave to retries.
+func (p *Pool) reserve() float64 {
+	if p.settings.ExtraBurst > 0 {
+		return p.settings.ExtraBurst / 2
+	}
+	return retryReserve
+}
+
+func newExtra(settings Settings) *budget.Ratio {
+	burst := settings.ExtraBurst
+	if burst == 0 {
+		burst = extraBurst
+	}
+	return budget.NewRatio(settings.ExtraAttemptShare, burst)
+}
+
 // SetSettings puts new limits in force; requests keep their place.
 func (p *Pool) SetSettings(settings Settings, now time.Time) Actions {
-	if settings.ExtraAttemptShare != p.settings.ExtraAttemptShare {
-		p.extra = budget.NewRatio(settings.ExtraAttemptShare, extraBurst)
+	if settings.ExtraAttemptShare != p.settings.ExtraAttemptShare || settings.ExtraBurst != p.settings.ExtraBurst {
+		p.extra = newExtra(settings)
 	}
 	p.typical.quantile = settings.HedgeQuantile
 	for _, s := range p.targets {
-		if s.limit >= p.settings.Slots {
+		if s.Slots == 0 && s.limit >= p.settings.Slots {
 			s.limit = settings.Slots
 		}
 	}
@@ -100,15 +128,11 @@
 // SetTargets replaces the targets and keeps what is known of those that stay.
 // Targets that join a pool in use start cold; the first ones do not.
 func (p *Pool) SetTargets(now time.Time, targets []Target) Actions {
-	limit := p.settings.Slots
-	if p.known {
-		limit = 1
-	}
 	next := make([]*state, 0, len(targets))
 	for _, t := range targets {
 		s := p.find(t.Name)
 		if s == nil {
-			s = newState(t, limit, now)
+			s = newState(t, p.firstLimit(t), now)
 		}
 		s.Target = t
 		next = append(next, s)
@@ -118,6 +142,14 @@
 	return p.dispatch(now)
 }
 
+// firstLimit is where the ramp of a target starts.
+func (p *Pool) firstLimit(t Target) int {
+	if p.known {
+		return 1
+	}
+	return max(t.Slots, p.settings.Slots)
+}
+
 func (p *Pool) find(name string) *state {
 	for _, s := range p.targets {
 		if s.Name == name {
@@ -140,6 +172,9 @@
 	if !now.Before(request.Deadline) {
 		return refuse(request.ID, ReasonDeadline)
 	}
+	if p.settings.Policy == spec.PolicySpeed {
+		return p.arriveBySpeed(now, r)
+	}
 	if patience := p.patience(now, r); p.waiting.len() > 0 && p.expectedWait() > patience {
 		return refuse(request.ID, ReasonQueueFull)
 	}
@@ -192,6 +227,9 @@
 
 // dispatch grants waiting requests while there are free slots.
 func (p *Pool) dispatch(now time.Time) Actions {
+	if p.settings.Policy == spec.PolicySpeed {
+		return p.dispatchBySpeed(now)
+	}
 	var actions Actions
 	for r := p.waiting.first(); r != nil; r = p.waiting.first() {
 		if !now.Add(p.typical.median / 2).Before(r.Deadline) {
@@ -214,7 +252,10 @@
 	target.start(now)
 	p.uses++
 	target.used = p.uses
-	r.attempts = append(r.attempts, attempt{target: target, sent: now})
+	r.attempts = append(r.attempts, attempt{target: target, sent: now, slowdown: p.slowdown(now, target)})
+	if p.settings.Policy == spec.PolicySpeed {
+		return p.grantBySpeed(r, target, cause)
+	}
 	return Grant{
 		Request:     r.ID,
 		Target:      target.Name,
@@ -238,8 +279,11 @@
 	if !found || r.isSpent() || p.load > p.settings.BusyShare || p.waiting.len() > 0 {
 		return Actions{}
 	}
+	if p.settings.Policy == spec.PolicySpeed {
+		return p.hedgeBySpeed(now, r)
+	}
 	target, _ := p.pick(now, r)
-	if target == nil || r.hasTried(target.Name) || target.isEjected(now) || p.waste.isSpent() || !p.extra.SpendAbove(retryReserve) {
+	if target == nil || r.hasTried(target.Name) || target.isEjected(now) || p.waste.isSpent() || !p.extra.SpendAbove(p.reserve()) {
 		return Actions{}
 	}
 	return Actions{Grants: []Grant{p.grant(now, r, target, "hedge of a late answer")}}
@@ -253,6 +297,9 @@
 	if !found || r.isSpent() {
 		return Actions{}, false
 	}
+	if isRescue && p.settings.RescuesCount && !p.extra.Spend() {
+		return Actions{}, false
+	}
 	if !isRescue && (r.Single || p.load > p.settings.BusyShare || !p.extra.Spend()) {
 		return Actions{}, false
 	}
@@ -268,6 +315,9 @@
 	if s == nil {
 		return Actions{}
 	}
+	if p.settings.Policy == spec.PolicySpeed {
+		p.learnPace(now, p.requests[id], number, outcome)
+	}
 	if outcome.Report != nil {
 		s.hear(now, *outcome.Report)
 	}
@@ -309,9 +359,9 @@
 func (p *Pool) judge(now time.Time, s *state, outcome Outcome) {
 	switch outcome.Kind {
 	case Answered:
-		s.answered(now, outcome.Latency, p.typical.slow(), p.settings.Slots)
+		s.answered(now, outcome.Latency, p.typical.slow(), p.slots(s))
 		p.typical.add(now, outcome.Latency)
-		if s.slowInRow >= slowToEject || (s.slowInRow > 0 && s.trial) {
+		if p.settings.Policy != spec.PolicySpeed && (s.slowInRow >= slowToEject || (s.slowInRow > 0 && s.trial)) {
 			p.tryEjectSlow(now, s)
 		}
 	case Errored:
@@ -369,10 +419,12 @@
 
 func (p *Pool) noteLoad(now time.Time) {
 	busy := p.waiting.len()
+	slots := 0
 	for _, s := range p.targets {
 		busy += s.inFlight
+		slots += p.slots(s)
 	}
-	share := float64(busy) / float64(max(p.settings.Slots*len(p.targets), 1))
+	share := float64(busy) / float64(max(slots, 1))
 	weight := 1 - math.Exp(-float64(now.Sub(p.loadTime))/float64(loadFade))
 	p.load += weight * (min(share, 1) - p.load)
 	p.loadTime = now
@@ -383,6 +435,9 @@
 	if p.settings.QuietAfter == 0 {
 		return nil
 	}
+	if p.settings.Policy == spec.PolicySpeed {
+		return p.probesBySpeed(now)
+	}
 	var names []string
 	for _, s := range p.targets {
 		if !s.Spare && !s.Leaving && s.inFlight == 0 && now.Sub(s.heard) > p.settings.QuietAfter {
@@ -398,6 +453,7 @@
 	if s == nil {
 		return Actions{}
 	}
+	s.pace.probing = false
 	if report == nil {
 		s.heard = now
 		s.errorsInRow++
--- a/pkg/choose/queue.go
+++ b/pkg/choose/queue.go
@@ -4,7 +4,7 @@
 	"container/list"
 )
 
-// queue holds the requests that wait for a slot, first come first served.
+// queue holds the requests that wait for a slot, by priority and then first come first served.
 type queue struct {
 	order    *list.List
 	elements map[uint64]*list.Element
@@ -15,12 +15,35 @@
 }
 
 func (q *queue) pushBack(r *pending) {
-	q.elements[r.ID] = q.order.PushBack(r)
+	for e := q.order.Back(); e != nil; e = e.Prev() {
+		if e.Value.(*pending).Priority <= r.Priority {
+			q.elements[r.ID] = q.order.InsertAfter(r, e)
+			return
+		}
+	}
+	q.elements[r.ID] = q.order.PushFront(r)
 }
 
 // pushFront is for retries, which have waited already.
 func (q *queue) pushFront(r *pending) {
-	q.elements[r.ID] = q.order.PushFront(r)
+	for e := q.order.Front(); e != nil; e = e.Next() {
+		if e.Value.(*pending).Priority >= r.Priority {
+			q.elements[r.ID] = q.order.InsertBefore(r, e)
+			return
+		}
+	}
+	q.elements[r.ID] = q.order.PushBack(r)
+}
+
+// all yields the waiting requests in order; the current one may be removed.
+func (q *queue) all(yield func(*pending) bool) {
+	for e := q.order.Front(); e != nil; {
+		next := e.Next()
+		if !yield(e.Value.(*pending)) {
+			return
+		}
+		e = next
+	}
 }
 
 func (q *queue) first() *pending {
--- /dev/null
+++ b/pkg/choose/speed.go
@@ -0,0 +1,340 @@
+package choose
+
+import (
+	"time"
+)
+
+// The policy Speed sends a request to the target that is expected to answer
+// first. Targets say how slow they are at the moment; hosts tell each other what
+// they heard and how many requests they have at each target.
+
+const (
+	// usualGain and grantedGain smooth the slowdown over the reports of a second or so.
+	usualGain   = 0.02
+	grantedGain = 0.05
+	// coldSlowdown is what a target that has just started is expected to add.
+	coldSlowdown = 2
+	// errorCost weighs the share of errors of a target: a failed request costs several good ones.
+	errorCost = 8
+	// fullShare is the share of busy slots from which some targets slow down, and fullCost what that may add.
+	fullShare = 0.75
+	fullCost  = 0.5
+	// farCost is the relative cost of a target in another failure domain.
+	farCost = 0.08
+	// alike is how close two costs are for the longest rest to decide.
+	alike = 0.05
+	// waitRatio is how much faster a busy target must be for a request to wait for it.
+	waitRatio = 2.5
+	// waitShare is the part of the objective that a request may wait for a faster target.
+	waitShare = 0.25
+	// guessShare is the part of the objective that work is taken to need while nothing is known of its class.
+	guessShare = 0.35
+	// hedgeLate is how many times the expected latency an attempt must take before it is hedged, and hedgeShare the part of the objective.
+	hedgeLate  = 2
+	hedgeShare = 0.4
+	// silentLate is how many times the expected latency an answer may take before its connection is doubted.
+	silentLate = 6
+	// overdue is how many times the expected latency an attempt may be out before its target counts as slower.
+	overdue = 2.5
+)
+
+// work is the median time that a class of requests takes at the usual speed.
+func (p *Pool) work(r *pending) time.Duration {
+	if known, found := p.classes[r.Class]; found && known.median > 0 {
+		return known.median
+	}
+	return time.Duration(guessShare * float64(r.objective()))
+}
+
+func (r *pending) objective() time.Duration {
+	if r.Objective > 0 {
+		return r.Objective
+	}
+	return r.Deadline.Sub(r.arrived)
+}
+
+// slots is the number of requests that the target works on at once.
+func (p *Pool) slots(s *state) int {
+	if s.Slots > 0 {
+		return s.Slots
+	}
+	return p.settings.Slots
+}
+
+// occupancy is the number of requests at the target, as far as it is known.
+func (s *state) occupancy(now time.Time) int {
+	return s.inFlight + max(s.pace.remoteInFlight(now), s.foreignLoad(now))
+}
+
+// slowdown is how many times its usual time work is expected to take at a target.
+func (p *Pool) slowdown(now time.Time, s *state) float64 {
+	expected := s.pace.expected(now, p.usual)
+	if now.Before(s.ColdUntil) {
+		expected *= coldSlowdown
+	}
+	if drag := s.pace.dragged(now); drag > dragNotable {
+		expected *= drag
+	}
+	return expected
+}
+
+// cost compares targets: the slowdown with everything that speaks against a target.
+func (p *Pool) cost(now time.Time, s *state, work time.Duration) float64 {
+	cost := p.slowdown(now, s)
+	if len(s.sent) > 0 && work > 0 {
+		late := float64(now.Sub(s.sent[0])) / (float64(work) * cost)
+		if late > overdue {
+			cost *= late / overdue
+		}
+	}
+	busy := float64(s.occupancy(now)+1) / float64(max(p.slots(s), 1))
+	if busy > fullShare {
+		cost *= 1 + fullCost*min(busy-fullShare, 1-fullShare)/(1-fullShare)
+	}
+	if busy > 1 {
+		cost *= busy
+	}
+	if s.FailureDomain != p.settings.FailureDomain {
+		cost *= 1 + farCost
+	}
+	return cost * (1 + errorCost*s.pace.errorShare(now))
+}
+
+// freeBySpeed reports whether the target can start a request at once.
+func (p *Pool) freeBySpeed(now time.Time, s *state) bool {
+	most := p.slots(s)
+	if s.inFlight > 0 {
+		most = min(most, s.limit)
+	}
+	return s.occupancy(now) < max(most, 1)
+}
+
+// choice is the outcome of a comparison of the targets.
+type choice struct {
+	free     *state
+	freeCost float64
+	// bestCost is the lowest cost of any target, busy ones included.
+	bestCost float64
+}
+
+func (p *Pool) choose(now time.Time, r *pending) choice {
+	work := p.work(r)
+	var c choice
+	for _, s := range p.usable(now, r) {
+		cost := p.cost(now, s, work)
+		if c.bestCost == 0 || cost < c.bestCost {
+			c.bestCost = cost
+		}
+		if p.freeBySpeed(now, s) && (c.free == nil || isCheaper(cost, s, c.freeCost, c.free)) {
+			c.free = s
+			c.freeCost = cost
+		}
+	}
+	return c
+}
+
+// isCheaper lets the longest rest decide between targets that cost nearly the same.
+func isCheaper(cost float64, s *state, bestCost float64, best *state) bool {
+	if cost < bestCost*(1-alike) || cost > bestCost*(1+alike) {
+		return cost < bestCost
+	}
+	return s.used < best.used
+}
+
+// arriveBySpeed refuses at once what could be answered only too late, while
+// others wait that can still be answered in time.
+func (p *Pool) arriveBySpeed(now time.Time, r *pending) Actions {
+	if wait := p.waitBefore(r); wait > 0 && !p.isInTime(now.Add(wait), r) {
+		return Actions{Refusals: []Refusal{{Request: r.ID, Reason: ReasonQueueFull, RetryAfter: wait}}}
+	}
+	p.requests[r.ID] = r
+	p.waiting.pushBack(r)
+	return p.dispatch(now)
+}
+
+// waitBefore is the time until the waiting requests that go before r have slots.
+func (p *Pool) waitBefore(r *pending) time.Duration {
+	ahead := time.Duration(0)
+	for other := range p.waiting.all {
+		if other.Priority <= r.Priority {
+			ahead += p.work(other)
+		}
+	}
+	slots := 0
+	for _, s := range p.targets {
+		if !s.Leaving && !s.draining {
+			slots += p.slots(s)
+		}
+	}
+	return time.Duration(float64(ahead) * p.granted / float64(max(slots, 1)))
+}
+
+// isInTime reports whether a request that starts at a time is expected to meet its objective.
+func (p *Pool) isInTime(start time.Time, r *pending) bool {
+	return !start.Add(time.Duration(float64(p.work(r)) * p.granted)).After(r.arrived.Add(r.objective()))
+}
+
+// dispatchBySpeed grants the requests that can still meet their objective, and
+// then the others, as long as targets are free.
+func (p *Pool) dispatchBySpeed(now time.Time) Actions {
+	var actions Actions
+	for _, inTime := range []bool{true, false} {
+		for r := range p.waiting.all {
+			if p.isHopeless(now, r) {
+				p.waiting.remove(r.ID)
+				actions.Refusals = append(actions.Refusals, Refusal{Request: r.ID, Reason: ReasonDeadline})
+				continue
+			}
+			if p.isInTime(now, r) != inTime {
+				continue
+			}
+			c := p.choose(now, r)
+			if c.free == nil {
+				break
+			}
+			if p.waitsForFaster(now, r, c) {
+				continue
+			}
+			p.waiting.remove(r.ID)
+			actions.Grants = append(actions.Grants, p.grant(now, r, c.free, "expected to answer first"))
+			p.granted += grantedGain * (c.freeCost - p.granted)
+		}
+	}
+	p.noteLoad(now)
+	return actions
+}
+
+// isHopeless reports whether even the fastest target would answer after the deadline.
+func (p *Pool) isHopeless(now time.Time, r *pending) bool {
+	return !now.Add(p.work(r) / 2).Before(r.Deadline)
+}
+
+// waitsForFaster reports whether a request does better to wait for a busy target
+// than to start at the free one, which is slow at the moment.
+func (p *Pool) waitsForFaster(now time.Time, r *pending, c choice) bool {
+	if c.freeCost < waitRatio*c.bestCost {
+		return false
+	}
+	objective := r.objective()
+	expected := time.Duration(float64(p.work(r)) * c.freeCost)
+	if !now.Add(expected).After(r.arrived.Add(objective)) {
+		return false
+	}
+	return now.Sub(r.arrived) < time.Duration(waitShare*float64(objective))
+}
+
+// grantBySpeed states when a request whose answer is late is to be hedged.
+func (p *Pool) grantBySpeed(r *pending, target *state, cause string) Grant {
+	last := r.attempts[len(r.attempts)-1]
+	expected := time.Duration(float64(p.work(r)) * last.slowdown)
+	grant := Grant{Request: r.ID, Target: target.Name, Attempt: len(r.attempts), Cause: cause, SilentAfter: silentLate * expected}
+	if r.Idempotent && !r.Single && !r.isSpent() && p.settings.HedgeQuantile < 1 {
+		grant.HedgeAfter = max(hedgeLate*expected, time.Duration(hedgeShare*float64(r.objective())))
+	}
+	return grant
+}
+
+// hedgeBySpeed sends a late request to another target if that would answer soon.
+func (p *Pool) hedgeBySpeed(now time.Time, r *pending) Actions {
+	c := p.choose(now, r)
+	if c.free == nil || r.hasTried(c.free.Name) || c.free.isEjected(now) || p.waste.isSpent() {
+		return Actions{}
+	}
+	if !now.Add(time.Duration(float64(p.work(r))*c.freeCost)).Before(r.Deadline) || !p.extra.SpendAbove(p.reserve()) {
+		return Actions{}
+	}
+	return Actions{Grants: []Grant{p.grant(now, r, c.free, "hedge of a late answer")}}
+}
+
+// learnPace compares the end of an attempt with what was expected of its target.
+func (p *Pool) learnPace(now time.Time, r *pending, number int, outcome Outcome) {
+	a := &r.attempts[number-1]
+	s := a.target
+	if outcome.Report != nil && outcome.Report.Slowdown > 0 {
+		p.usual += usualGain * (outcome.Report.Slowdown - p.usual)
+	}
+	switch outcome.Kind {
+	case Answered:
+		s.pace.succeeded(now)
+		p.learnWork(now, r, a, outcome)
+	case Errored, Declined:
+		s.pace.failed(now)
+	case Cancelled:
+		expected := float64(p.work(r)) * max(a.slowdown, 0.1)
+		if ratio := float64(outcome.Latency) / expected; ratio > overdue {
+			s.pace.lag(now, ratio)
+		}
+	case Unused:
+	}
+}
+
+// learnWork separates the work of the class from the slowness of the target.
+func (p *Pool) learnWork(now time.Time, r *pending, a *attempt, outcome Outcome) {
+	slowdown := a.target.pace.expected(a.sent, p.usual)
+	if outcome.Report != nil && outcome.Report.Slowdown > 0 {
+		slowdown = (slowdown + outcome.Report.Slowdown) / 2
+	}
+	class, found := p.classes[r.Class]
+	if !found {
+		class = newTypical(1, now)
+		p.classes[r.Class] = class
+	}
+	atUsual := time.Duration(float64(outcome.Latency) / max(slowdown, 0.1))
+	if class.median > 0 {
+		a.target.pace.lag(now, float64(atUsual)/float64(class.median))
+	}
+	class.add(now, atUsual)
+}
+
+// probesBySpeed lists the targets held here of whose speed nothing was heard lately.
+func (p *Pool) probesBySpeed(now time.Time) []string {
+	var names []string
+	for _, s := range p.targets {
+		if s.Spare || s.Leaving || s.pace.probing || now.Sub(s.pace.at) < p.settings.QuietAfter {
+			continue
+		}
+		s.pace.probing = true
+		names = append(names, s.Name)
+	}
+	return names
+}
+
+// Sightings returns what this host knows of the targets at first hand.
+func (p *Pool) Sightings(now time.Time) []Sighting {
+	var seen []Sighting
+	for _, s := range p.targets {
+		sighting := Sighting{Target: s.Name, InFlight: s.inFlight}
+		if age := now.Sub(s.pace.at); s.pace.own && age < paceFade {
+			sighting.Slowdown = s.pace.slowdown
+			sighting.Age = age
+		}
+		if sighting.InFlight > 0 || sighting.Slowdown > 0 {
+			seen = append(seen, sighting)
+		}
+	}
+	return seen
+}
+
+// See takes what another host knows at first hand; targets that it does not name have none of its requests.
+func (p *Pool) See(now time.Time, host string, sightings []Sighting) Actions {
+	told := make(map[string]Sighting, len(sightings))
+	for _, sighting := range sightings {
+		told[sighting.Target] = sighting
+	}
+	for _, s := range p.targets {
+		sighting := told[s.Name]
+		s.pace.setRemote(host, sighting.InFlight, now)
+		s.pace.hear(now.Add(-sighting.Age), sighting.Slowdown, false)
+		if sighting.Slowdown > 0 {
+			p.usual += usualGain * (sighting.Slowdown - p.usual)
+		}
+	}
+	return p.dispatch(now)
+}
+
+// ProbeSkipped says that a wanted probe was not sent, because the measuring budget is spent.
+func (p *Pool) ProbeSkipped(target string) {
+	if s := p.find(target); s != nil {
+		s.pace.probing = false
+	}
+}
--- a/pkg/choose/target.go
+++ b/pkg/choose/target.go
@@ -57,6 +57,8 @@
 	trial       bool
 	draining    bool
 	used        uint64
+
+	pace pace
 }
 
 func newState(t Target, limit int, now time.Time) *state {
@@ -134,6 +136,7 @@
 	s.report = report
 	s.reportTime = now
 	s.heard = now
+	s.pace.hear(now, report.Slowdown, true)
 	s.draining = report.Draining
 	own := max(s.mostOwn, s.mostBefore, s.inFlight)
 	s.foreign[s.foreignAt%foreignReports] = max(report.Running+report.Waiting-own, 0)
--- a/pkg/choose/types.go
+++ b/pkg/choose/types.go
@@ -24,6 +24,10 @@
 	QuietAfter time.Duration
 	// FailureDomain is the entry host's own; targets in it are preferred among equals.
 	FailureDomain string
+	// ExtraBurst is how many extra attempts may be saved up; zero means a default.
+	ExtraBurst float64
+	// RescuesCount says that rescues from silent connections are extra attempts too.
+	RescuesCount bool
 }
 
 // Target is a target that the pool may use.
@@ -32,8 +36,13 @@
 	FailureDomain string
 	// Leaving targets get no new work.
 	Leaving bool
-	// Spare targets are held by another host and used only when no own target is usable.
+	// Spare targets are held by another host, which probes them; the policy Held
+	// uses them only when no own target is usable.
 	Spare bool
+	// Slots is the number of requests that this target works on at once; zero means that of the settings.
+	Slots int
+	// ColdUntil is when a target that has just started works at its usual speed.
+	ColdUntil time.Time
 }
 
 // Request is one request of a caller.
@@ -47,6 +56,12 @@
 	AttemptsAtMost int
 	// Single requests get no extra attempts, because a level above retries.
 	Single bool
+	// Class names requests of one kind, whose latencies are compared.
+	Class string
+	// Priority is the rank of waiting requests; zero goes first.
+	Priority int
+	// Objective is the latency within which the answer is worth most; zero means the whole time to the deadline.
+	Objective time.Duration
 }
 
 // Grant tells the caller of the pool to send a request to a target.
@@ -67,6 +82,8 @@
 type Refusal struct {
 	Request uint64
 	Reason  string
+	// RetryAfter is when a slot may be free for the request; zero if nothing is known.
+	RetryAfter time.Duration
 }
 
 // Actions are the decisions of one step.
@@ -97,6 +114,18 @@
 	Running, Waiting int
 	// Draining targets want no new work.
 	Draining bool
+	// Slowdown is how many times the usual time work takes at the target now; zero if it does not say.
+	Slowdown float64
+}
+
+// Sighting is what one host tells others of a target.
+type Sighting struct {
+	Target string
+	// InFlight counts the host's own requests at the target.
+	InFlight int
+	// Slowdown is what the target last said of itself, and Age how long ago; zero if nothing was heard.
+	Slowdown float64
+	Age      time.Duration
 }
 
 // Outcome is the end of an attempt.
--- /dev/null
+++ b/pkg/facts/turn.go
@@ -0,0 +1,25 @@
+package facts
+
+import "time"
+
+// Turn decides when a host reads a topic itself. Hosts that callers are steered
+// to stand in a line; the first reads all the time, and each next one only if
+// its knowledge has not been confirmed for longer.
+type Turn struct {
+	// Period is the time between two reads of the first host in line.
+	Period time.Duration
+	// Grace is how much longer than Period the second host waits.
+	Grace time.Duration
+	// Step is how much longer each further host waits.
+	Step time.Duration
+	// Most bounds the wait of a host, whatever its place.
+	Most time.Duration
+}
+
+// Due returns the age of knowledge from which the host at a place reads itself.
+func (t Turn) Due(place int) time.Duration {
+	if place == 0 {
+		return t.Period
+	}
+	return min(t.Period+t.Grace+time.Duration(place-1)*t.Step, t.Most)
+}
--- a/pkg/fault/verdict.go
+++ b/pkg/fault/verdict.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -51,6 +52,8 @@
 	Status int
 	// Reason is a short Pascal case name of the failure for headers, metrics and events.
 	Reason string
+	// RetryAfter is when another try may succeed; zero if nothing is known.
+	RetryAfter time.Duration
 
 	cause error
 }
@@ -85,6 +88,13 @@
 	return &changed
 }
 
+// WithRetryAfter returns a copy that says when another try may succeed.
+func (e *Error) WithRetryAfter(after time.Duration) *Error {
+	changed := *e
+	changed.RetryAfter = after
+	return &changed
+}
+
 // VerdictOf returns the verdict of the first *Error in the chain of err, and MayHaveRun without one.
 func VerdictOf(err error) Verdict {
 	var failed *Error
--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -43,6 +43,7 @@
 	CallerAddress string
 	PeerAddress   string
 	AdminAddress  string
+	BeaconAddress string
 	Leaving       bool
 }
 
--- a/pkg/spec/document.go
+++ b/pkg/spec/document.go
@@ -15,6 +15,7 @@
 	PolicyTwoChoices = "TwoChoices"
 	PolicyRoundRobin = "RoundRobin"
 	PolicyRandom     = "Random"
+	PolicySpeed      = "Speed"
 )
 
 // Document is the checked content of one service's document.
@@ -39,6 +40,8 @@
 	AttemptsAtMost int
 	// ExtraAttemptShare bounds retries and hedges as a share of requests.
 	ExtraAttemptShare float64
+	// ExtraBurst is how many extra attempts a host may save up; zero means a default.
+	ExtraBurst float64
 	// HedgeQuantile is the quantile of the service's own latency after which a read is hedged; 1 turns hedging off.
 	HedgeQuantile float64
 	// BusyShare is the load above which no extra attempts are made.
@@ -94,6 +97,7 @@
 	return []Field{
 		{Section: "Retries", Key: "AttemptsAtMost", Unit: "attempts", Default: "3", Allowed: "1 to 5", About: "Attempts of one request, the first included.", Set: Int(&d.AttemptsAtMost, 1, 5)},
 		{Section: "Retries", Key: "ExtraAttemptShare", Default: "0.06", Allowed: "0 to 0.5", About: "Retries and hedges as a share of requests.", Set: Float(&d.ExtraAttemptShare, 0, 0.5)},
+		{Section: "Retries", Key: "ExtraBurst", Unit: "attempts", Default: "0", Allowed: "0 to 1000; 0 means 20", About: "Retries and hedges that one entry host may save up.", Set: Float(&d.ExtraBurst, 0, 1000)},
 		{Section: "Retries", Key: "HedgeQuantile", Default: "0.95", Allowed: "0.5 to 1", About: "Quantile of the service's own latency after which a read is hedged; 1 turns hedging off.", Set: Float(&d.HedgeQuantile, 0.5, 1)},
 		{Section: "Retries", Key: "BusyShare", Default: "0.9", Allowed: "0 to 1", About: "Share of busy slots above which no extra attempts are made.", Set: Float(&d.BusyShare, 0, 1)},
 	}
@@ -109,7 +113,7 @@
 
 func (d *Document) steeringFields() []Field {
 	return []Field{
-		{Section: "Steering", Key: "Policy", Default: PolicyHeld, Allowed: "Held, Reports, TwoChoices, RoundRobin or Random", About: "How a target is chosen.", Set: Choice(&d.Policy, PolicyHeld, PolicyReports, PolicyTwoChoices, PolicyRoundRobin, PolicyRandom)},
+		{Section: "Steering", Key: "Policy", Default: PolicyHeld, Allowed: "Held, Speed, Reports, TwoChoices, RoundRobin or Random", About: "How a target is chosen.", Set: Choice(&d.Policy, PolicyHeld, PolicySpeed, PolicyReports, PolicyTwoChoices, PolicyRoundRobin, PolicyRandom)},
 		{Section: "Steering", Key: "Holders", Unit: "hosts", Default: "1", Allowed: "0 to 1000; 0 means every host", About: "Entry hosts that the callers of the service are steered to.", Set: Int(&d.Holders, 0, 1000)},
 		{Section: "Steering", Key: "DirectoryHoldMillis", Unit: "ms", Default: "5000", Allowed: "100 to 600000", About: "How long callers may keep a directory answer.", Set: Millis(&d.DirectoryHold, 100*time.Millisecond, 10*time.Minute)},
 	}
--- /dev/null
+++ b/pkg/table/doc.go
@@ -0,0 +1,3 @@
+// Package table maps the host name and path of a request to a service and to the
+// terms that the operator grants it.
+package table
