--- a/internal/cmds/entry.go
+++ b/internal/cmds/entry.go
@@ -68,7 +68,9 @@
 func runEntry(s streams, path string, settings *config.Settings) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	loggers, err := logs.New(logOutput(s, settings), settings.Name, settings.LogLevels)
+	output := logs.NewQueue(logOutput(s, settings), time.Now)
+	defer output.Close()
+	loggers, err := logs.New(output, settings.Name, settings.LogLevels)
 	if err != nil {
 		return err
 	}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -40,6 +40,7 @@
 	log         *slog.Logger
 	platLog     *slog.Logger
 	peerLog     *slog.Logger
+	requestLog  *slog.Logger
 	events      *event.Ring
 	metrics     *metrics.Set
 	counters    counters
@@ -108,6 +109,7 @@
 		log:         loggers.For("entry"),
 		platLog:     loggers.For("plat"),
 		peerLog:     loggers.For("peer"),
+		requestLog:  loggers.For("request"),
 		events:      event.NewRing(settings.Name, incarnation, settings.EventsKept, time.Now),
 		metrics:     metrics.NewSet(),
 		control:     control,
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -197,6 +197,9 @@
 	r.attempts[grant.Attempt] = &attempt{grant: grant, cancel: cancel}
 	r.running++
 	r.note("AttemptSent", grant.Target, grant.Cause)
+	if grant.Attempt > 1 {
+		r.service.daemon.requestLog.Info("another attempt is sent", r.grantFields(grant)...)
+	}
 	if grant.HedgeAfter > 0 {
 		hedge.Reset(grant.HedgeAfter)
 	}
@@ -273,6 +276,7 @@
 		return true, nil
 	}
 	r.note("AttemptFailed", got.target, describe(got))
+	r.logAttemptFailed(got)
 	if r.canRetry(got) && r.service.retry(r.id, false) {
 		r.service.metrics.retries.Inc()
 		return false, nil
@@ -373,6 +377,7 @@
 		_ = http.NewResponseController(w).Flush()
 	}
 	r.note("RequestDone", won.target, http.StatusText(a.Status))
+	r.logDone(won)
 	r.service.daemon.counters.added.Update((time.Since(r.started) - won.latency).Seconds())
 	return nil
 }
--- /dev/null
+++ b/internal/entry/runlog.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"log/slog"
+	"time"
+
+	"gitlab.com/curranttiller/curranttiller/internal/route"
+	"gitlab.com/curranttiller/curranttiller/pkg/choose"
+	"gitlab.com/curranttiller/curranttiller/pkg/fault"
+)
+
+// grantFields are the inputs that decided where an attempt went.
+func (r *run) grantFields(grant choose.Grant) []any {
+	return []any{
+		slog.String("Request", r.request.ID),
+		slog.String("Service", r.service.name),
+		slog.String("Class", r.class()),
+		slog.String("Target", grant.Target),
+		slog.Int("Attempt", grant.Attempt),
+		slog.String("Cause", grant.Cause),
+		slog.Float64("Slowdown", grant.Slowdown),
+		slog.Int64("HeardAgoMillis", grant.HeardAgo.Milliseconds()),
+		slog.Int64("WaitedMillis", grant.Waited.Milliseconds()),
+		slog.Int64("ExpectedMillis", grant.Expected.Milliseconds()),
+	}
+}
+
+// class is the kind of the request, or empty without routes.
+func (r *run) class() string {
+	if r.request.Terms == nil {
+		return ""
+	}
+	return r.request.Terms.Class
+}
+
+// logDone writes the line of an answered request, with what decided its last attempt.
+func (r *run) logDone(won *result) {
+	grant := r.attempts[won.attempt].grant
+	fields := append(r.grantFields(grant),
+		slog.Int("Attempts", len(r.attempts)),
+		slog.Int("Status", won.answer.Status),
+		slog.String("Verdict", won.answer.Verdict.String()),
+		slog.Int64("TargetMillis", won.latency.Milliseconds()),
+		slog.Int64("TotalMillis", time.Since(r.started).Milliseconds()),
+	)
+	r.service.daemon.requestLog.Info("request answered", fields...)
+}
+
+func (r *run) logAttemptFailed(got *result) {
+	fields := append(r.grantFields(r.attempts[got.attempt].grant),
+		slog.String("Error", describe(got)),
+		slog.Int64("TargetMillis", got.latency.Milliseconds()),
+	)
+	r.service.daemon.requestLog.Warn("attempt failed", fields...)
+}
+
+// logRefused writes the line of a request that gets no answer of a target.
+func (d *Daemon) logRefused(request *route.Request, failed *fault.Error) {
+	d.requestLog.Warn("request failed",
+		slog.String("Request", request.ID),
+		slog.String("Service", request.Service),
+		slog.String("Reason", failed.Reason),
+		slog.String("Verdict", failed.Verdict.String()),
+		slog.Int64("DeadlineInMillis", time.Until(request.Deadline).Milliseconds()),
+		slog.Int64("RetryAfterMillis", failed.RetryAfter.Milliseconds()),
+		slog.String("Error", failed.Error()),
+	)
+}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -56,6 +56,7 @@
 
 func (d *Daemon) noteFault(request *route.Request, failed *fault.Error) {
 	d.events.Add(event.Event{Kind: "RequestFailed", Service: request.Service, Request: request.ID, Cause: failed.Error()})
+	d.logRefused(request, failed)
 	d.metrics.GetOrCreateCounter(`curranttiller_faults_total{verdict="` + failed.Verdict.String() + `",reason="` + failed.Reason + `"}`).Inc()
 }
 
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -9,7 +9,7 @@
 )
 
 // Subsystems lists the names that a level can be set for.
-var Subsystems = []string{"entry", "front", "target", "plat", "peer"}
+var Subsystems = []string{"entry", "front", "request", "target", "plat", "peer"}
 
 // Set makes loggers by subsystem.
 type Set struct {
--- /dev/null
+++ b/internal/logs/queue_test.go
@@ -0,0 +1,43 @@
+package logs_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gitlab.com/curranttiller/curranttiller/internal/logs"
+)
+
+// stuck is an output that never takes a line until it is released.
+type stuck struct {
+	release chan struct{}
+	buffer  bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return s.buffer.Write(p)
+}
+
+func TestQueueNeverBlocksAndCountsWhatItDrops(t *testing.T) {
+	is := is.New(t)
+	out := &stuck{release: make(chan struct{})}
+	now := time.Unix(0, 0)
+	q := logs.NewQueue(out, func() time.Time { return now })
+	for range 2000 {
+		_, err := q.Write([]byte("line\n"))
+		is.NoErr(err)
+	}
+	dropped := q.Dropped()
+	is.True(dropped >= 1400) // the rate allows 500 at once
+	now = now.Add(time.Second)
+	close(out.release)
+	_, _ = q.Write([]byte("later\n"))
+	q.Close()
+	text := out.buffer.String()
+	is.True(strings.Contains(text, "log lines dropped"))
+	is.True(strings.HasSuffix(text, "later\n"))
+}
--- a/pkg/choose/pace.go
+++ b/pkg/choose/pace.go
@@ -35,7 +35,9 @@
 	// drag is the smoothed ratio of latencies to what the reports let expect.
 	drag    float64
 	dragAt  time.Time
-	probing bool
+	// progress is the work at the usual speed that a request running all the time would have got done, up to at.
+	progress time.Duration
+	probing  bool
 	remote  map[string]remoteLoad
 }
 
@@ -49,6 +51,10 @@
 	if slowdown <= 0 || !at.After(p.at) {
 		return
 	}
+	if p.slowdown > 0 {
+		// Between two reports the speed is taken to have been the mean of both.
+		p.progress += time.Duration(float64(at.Sub(p.at)) * (1/p.slowdown + 1/slowdown) / 2)
+	}
 	p.slowdown = slowdown
 	p.at = at
 	p.own = own
@@ -63,6 +69,14 @@
 	return usual + weight*(p.slowdown-usual)
 }
 
+// done is the progress up to now.
+func (p *pace) done(now time.Time) time.Duration {
+	if p.slowdown == 0 {
+		return p.progress
+	}
+	return p.progress + time.Duration(float64(now.Sub(p.at))/p.slowdown)
+}
+
 func (p *pace) failed(now time.Time) {
 	share := p.errorShare(now)
 	p.errors = share + errorGain*(1-share)
--- a/pkg/choose/pool.go
+++ b/pkg/choose/pool.go
@@ -34,8 +34,9 @@
 type attempt struct {
 	target *state
 	sent   time.Time
-	// slowdown is the target's expected slowdown when the attempt was sent.
+	// slowdown is the target's expected slowdown when the attempt was sent, and progress its progress.
 	slowdown float64
+	progress time.Duration
 	// doubted attempts no longer hold a slot.
 	doubted bool
 }
@@ -252,7 +253,7 @@
 	target.start(now)
 	p.uses++
 	target.used = p.uses
-	r.attempts = append(r.attempts, attempt{target: target, sent: now, slowdown: p.slowdown(now, target)})
+	r.attempts = append(r.attempts, attempt{target: target, sent: now, slowdown: p.slowdown(now, target), progress: target.pace.done(now)})
 	if p.settings.Policy == spec.PolicySpeed {
 		return p.grantBySpeed(r, target, cause)
 	}
--- a/pkg/choose/speed.go
+++ b/pkg/choose/speed.go
@@ -144,7 +144,7 @@
 // arriveBySpeed refuses at once what could be answered only too late, while
 // others wait that can still be answered in time.
 func (p *Pool) arriveBySpeed(now time.Time, r *pending) Actions {
-	if wait := p.waitBefore(r); wait > 0 && !p.isInTime(now.Add(wait), r) {
+	if wait := p.waitBefore(r); wait > 0 && p.isLateByWaiting(now, wait, r) {
 		return Actions{Refusals: []Refusal{{Request: r.ID, Reason: ReasonQueueFull, RetryAfter: wait}}}
 	}
 	p.requests[r.ID] = r
@@ -169,6 +169,15 @@
 	return time.Duration(float64(ahead) * p.granted / float64(max(slots, 1)))
 }
 
+// isLateByWaiting reports whether a request that could be answered in time if it
+// started now will not be after a wait. One that is late anyway has until its deadline.
+func (p *Pool) isLateByWaiting(now time.Time, wait time.Duration, r *pending) bool {
+	if p.isInTime(now, r) {
+		return !p.isInTime(now.Add(wait), r)
+	}
+	return now.Add(wait + p.work(r)).After(r.Deadline)
+}
+
 // isInTime reports whether a request that starts at a time is expected to meet its objective.
 func (p *Pool) isInTime(start time.Time, r *pending) bool {
 	return !start.Add(time.Duration(float64(p.work(r)) * p.granted)).After(r.arrived.Add(r.objective()))
@@ -227,7 +236,10 @@
 func (p *Pool) grantBySpeed(r *pending, target *state, cause string) Grant {
 	last := r.attempts[len(r.attempts)-1]
 	expected := time.Duration(float64(p.work(r)) * last.slowdown)
-	grant := Grant{Request: r.ID, Target: target.Name, Attempt: len(r.attempts), Cause: cause, SilentAfter: silentLate * expected}
+	grant := Grant{
+		Request: r.ID, Target: target.Name, Attempt: len(r.attempts), Cause: cause, SilentAfter: silentLate * expected,
+		Slowdown: last.slowdown, HeardAgo: last.sent.Sub(target.pace.at), Waited: last.sent.Sub(r.arrived), Expected: expected,
+	}
 	if r.Idempotent && !r.Single && !r.isSpent() && p.settings.HedgeQuantile < 1 {
 		grant.HedgeAfter = max(hedgeLate*expected, time.Duration(hedgeShare*float64(r.objective())))
 	}
@@ -268,22 +280,22 @@
 	}
 }
 
-// learnWork separates the work of the class from the slowness of the target.
+// learnWork separates the work of the class from the speed that the target had
+// while it ran.
 func (p *Pool) learnWork(now time.Time, r *pending, a *attempt, outcome Outcome) {
-	slowdown := a.target.pace.expected(a.sent, p.usual)
-	if outcome.Report != nil && outcome.Report.Slowdown > 0 {
-		slowdown = (slowdown + outcome.Report.Slowdown) / 2
+	work := a.target.pace.done(now) - a.progress
+	if a.target.pace.slowdown == 0 || work <= 0 {
+		work = outcome.Latency
 	}
 	class, found := p.classes[r.Class]
 	if !found {
 		class = newTypical(1, now)
 		p.classes[r.Class] = class
 	}
-	atUsual := time.Duration(float64(outcome.Latency) / max(slowdown, 0.1))
 	if class.median > 0 {
-		a.target.pace.lag(now, float64(atUsual)/float64(class.median))
+		a.target.pace.lag(now, float64(work)/float64(class.median))
 	}
-	class.add(now, atUsual)
+	class.add(now, work)
 }
 
 // probesBySpeed lists the targets held here of whose speed nothing was heard lately.
--- a/pkg/choose/types.go
+++ b/pkg/choose/types.go
@@ -76,6 +76,13 @@
 	SilentAfter time.Duration
 	// Cause says why this target was chosen.
 	Cause string
+	// Slowdown is what the target was expected to need relative to usual, and
+	// HeardAgo the age of what it last said of that; the policy Speed sets them.
+	Slowdown float64
+	HeardAgo time.Duration
+	// Waited is the time from arrival to the grant, and Expected that from the grant to the answer.
+	Waited   time.Duration
+	Expected time.Duration
 }
 
 // Refusal tells the caller of the pool that a request is not run.
