Let the policy Speed use targets that other hosts probe

Ruled out: slow learning of speeds (HeardAgoMillis p90 below 100), wrong expectations (ratio p50 0.9).

--- a/pkg/choose/pace.go
+++ b/pkg/choose/pace.go
@@ -33,12 +33,12 @@
 	errors  float64
 	errorAt time.Time
 	// drag is the smoothed ratio of latencies to what the reports let expect.
-	drag    float64
-	dragAt  time.Time
+	drag   float64
+	dragAt time.Time
 	// progress is the work at the usual speed that a request running all the time would have got done, up to at.
 	progress time.Duration
 	probing  bool
-	remote  map[string]remoteLoad
+	remote   map[string]remoteLoad
 }
 
 // remoteLoad is the number of requests that another host has at the target.
--- a/pkg/choose/policy.go
+++ b/pkg/choose/policy.go
@@ -28,10 +28,13 @@
 }
 
 // usable lists the targets that may take the request. Targets already tried are
-// left out while others remain, spares are used only without an own target, and
-// ejected ones only when nothing else is left.
+// left out while others remain, spares are used only without an own target
+// (the policy Speed uses all alike), and ejected ones only when nothing else is left.
 func (p *Pool) usable(now time.Time, r *pending) []*state {
-	own := p.filter(func(s *state) bool { return !s.Spare && s.wantsWork(now) && s.allows(r) && !r.hasTried(s.Name) })
+	isAnyOwn := p.settings.Policy == spec.PolicySpeed
+	own := p.filter(func(s *state) bool {
+		return (isAnyOwn || !s.Spare) && s.wantsWork(now) && s.allows(r) && !r.hasTried(s.Name)
+	})
 	if len(own) > 0 {
 		return own
 	}
--- a/pkg/choose/speed.go
+++ b/pkg/choose/speed.go
@@ -115,6 +115,8 @@
 	freeCost float64
 	// bestCost is the lowest cost of any target, busy ones included.
 	bestCost float64
+	// usable and open count the targets that may take the request, and those that can start it at once.
+	usable, open int
 }
 
 func (p *Pool) choose(now time.Time, r *pending) choice {
@@ -125,7 +127,12 @@
 		if c.bestCost == 0 || cost < c.bestCost {
 			c.bestCost = cost
 		}
-		if p.freeBySpeed(now, s) && (c.free == nil || isCheaper(cost, s, c.freeCost, c.free)) {
+		c.usable++
+		if !p.freeBySpeed(now, s) {
+			continue
+		}
+		c.open++
+		if c.free == nil || isCheaper(cost, s, c.freeCost, c.free) {
 			c.free = s
 			c.freeCost = cost
 		}
@@ -205,7 +212,11 @@
 				continue
 			}
 			p.waiting.remove(r.ID)
-			actions.Grants = append(actions.Grants, p.grant(now, r, c.free, "expected to answer first"))
+			grant := p.grant(now, r, c.free, "expected to answer first")
+			grant.Usable = c.usable
+			grant.Open = c.open
+			grant.Best = c.bestCost
+			actions.Grants = append(actions.Grants, grant)
 			p.granted += grantedGain * (c.freeCost - p.granted)
 		}
 	}
--- /dev/null
+++ b/pkg/choose/speed_test.go
@@ -0,0 +1,135 @@
+package choose_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gitlab.com/curranttiller/curranttiller/pkg/choose"
+	"gitlab.com/curranttiller/curranttiller/pkg/spec"
+)
+
+var speedSettings = choose.Settings{
+	Policy: spec.PolicySpeed, Slots: 2, AttemptsAtMost: 2, ExtraAttemptShare: 0.2, ExtraBurst: 4, HedgeQuantile: 0.95, BusyShare: 0.9, FailureDomain: "a",
+}
+
+var morning = time.Unix(5000, 0)
+
+// speedPool returns a pool of targets with the slowdowns given by name.
+func speedPool(slowdowns map[string]float64) *choose.Pool {
+	pool := choose.New(speedSettings, 1, morning)
+	var targets []choose.Target
+	for name := range slowdowns {
+		targets = append(targets, choose.Target{Name: name, FailureDomain: "a", Slots: 2, Spare: true})
+	}
+	pool.SetTargets(morning, targets)
+	for name, slowdown := range slowdowns {
+		pool.Probed(morning, name, &choose.Report{Slowdown: slowdown})
+	}
+	return pool
+}
+
+func arrive(pool *choose.Pool, now time.Time, id uint64, change func(r *choose.Request)) choose.Actions {
+	request := choose.Request{ID: id, Idempotent: true, Deadline: now.Add(time.Second), Objective: 300 * time.Millisecond, Class: "status"}
+	if change != nil {
+		change(&request)
+	}
+	return pool.Arrive(now, request)
+}
+
+func TestSpeedTakesTheFastestTargetWhoeverProbesIt(t *testing.T) {
+	is := is.New(t)
+	pool := speedPool(map[string]float64{"slow": 7, "fast": 1, "middling": 3})
+	for id := range uint64(2) {
+		actions := arrive(pool, morning, id, nil)
+		is.Equal(actions.Grants[0].Target, "fast")
+		is.Equal(actions.Grants[0].Usable, 3) // targets probed by other hosts are as good
+	}
+	is.Equal(arrive(pool, morning, 9, nil).Grants[0].Target, "middling") // the slots of the fast one are taken
+}
+
+func TestSpeedCountsRequestsOfOtherHosts(t *testing.T) {
+	is := is.New(t)
+	pool := speedPool(map[string]float64{"slow": 3, "fast": 1})
+	pool.See(morning, "other", []choose.Sighting{{Target: "fast", InFlight: 2}})
+	is.Equal(arrive(pool, morning, 1, nil).Grants[0].Target, "slow")
+	pool.See(morning.Add(time.Millisecond), "other", nil)
+	is.Equal(arrive(pool, morning.Add(time.Millisecond), 2, nil).Grants[0].Target, "fast")
+}
+
+func TestSpeedForgetsOldReports(t *testing.T) {
+	is := is.New(t)
+	pool := speedPool(map[string]float64{"was-slow": 7, "unsteady": 2})
+	later := morning.Add(5 * time.Second)
+	pool.Probed(later, "unsteady", &choose.Report{Slowdown: 2})
+	is.Equal(arrive(pool, later, 1, nil).Grants[0].Target, "was-slow") // expected to be as usual again
+}
+
+func TestSpeedAvoidsErrorsThatReportsHide(t *testing.T) {
+	is := is.New(t)
+	pool := speedPool(map[string]float64{"failing": 1, "good": 2})
+	first := arrive(pool, morning, 1, nil).Grants[0]
+	is.Equal(first.Target, "failing")
+	pool.Finish(morning, 1, first.Attempt, choose.Outcome{Kind: choose.Errored})
+	pool.Release(morning, 1)
+	is.Equal(arrive(pool, morning, 2, nil).Grants[0].Target, "good")
+}
+
+func TestSpeedRefusesAtOnceWhatWaitingMakesLate(t *testing.T) {
+	is := is.New(t)
+	pool := speedPool(map[string]float64{"only": 1})
+	refused := 0
+	for id := range uint64(40) {
+		actions := arrive(pool, morning, id, nil)
+		for _, refusal := range actions.Refusals {
+			refused++
+			is.Equal(refusal.Reason, choose.ReasonQueueFull)
+			is.True(refusal.RetryAfter > 0)
+		}
+	}
+	is.True(refused > 20)        // two slots serve few in time
+	is.True(pool.Waiting() < 15) // and only those wait
+	is.True(refused+pool.Waiting() == 38)
+}
+
+func TestSpeedServesUrgentRequestsFirst(t *testing.T) {
+	is := is.New(t)
+	pool := speedPool(map[string]float64{"only": 1})
+	arrive(pool, morning, 1, nil)
+	arrive(pool, morning, 2, nil)
+	arrive(pool, morning, 3, func(r *choose.Request) { r.Priority = 2 })
+	arrive(pool, morning, 4, func(r *choose.Request) { r.Priority = 1 })
+	now := morning.Add(50 * time.Millisecond)
+	actions := pool.Finish(now, 1, 1, choose.Outcome{Kind: choose.Answered, Latency: 50 * time.Millisecond})
+	is.Equal(actions.Grants[0].Request, uint64(4))
+}
+
+func TestSpeedHedgesOnlyWithinTheBudget(t *testing.T) {
+	is := is.New(t)
+	pool := speedPool(map[string]float64{"a": 1, "b": 1, "c": 1, "d": 1, "e": 1})
+	hedged := 0
+	for id := range uint64(40) {
+		now := morning.Add(time.Duration(id) * 10 * time.Millisecond)
+		grants := arrive(pool, now, id, nil).Grants
+		is.True(grants[0].HedgeAfter > 0)
+		hedged += len(pool.Hedge(now, id).Grants)
+		pool.Finish(now, id, 1, choose.Outcome{Kind: choose.Answered, Latency: time.Millisecond})
+		pool.Release(now, id)
+	}
+	is.True(hedged > 0)
+	is.True(hedged <= 40/5) // the share of requests
+}
+
+func TestSpeedProbesOnlyWhatItHolds(t *testing.T) {
+	is := is.New(t)
+	settings := speedSettings
+	settings.QuietAfter = 100 * time.Millisecond
+	pool := choose.New(settings, 1, morning)
+	pool.SetTargets(morning, []choose.Target{{Name: "held"}, {Name: "elsewhere", Spare: true}})
+	is.Equal(pool.Probes(morning), []string{"held"})
+	is.Equal(len(pool.Probes(morning)), 0) // the answer is still out
+	pool.Probed(morning, "held", &choose.Report{Slowdown: 1})
+	is.Equal(len(pool.Probes(morning.Add(50*time.Millisecond))), 0)
+	is.Equal(pool.Probes(morning.Add(150*time.Millisecond)), []string{"held"})
+}
--- a/pkg/choose/types.go
+++ b/pkg/choose/types.go
@@ -83,6 +83,10 @@
 	// Waited is the time from arrival to the grant, and Expected that from the grant to the answer.
 	Waited   time.Duration
 	Expected time.Duration
+	// Usable counts the targets that could have been chosen, Open those of them
+	// with a free slot, and Best is the lowest cost of any of them.
+	Usable, Open int
+	Best         float64
 }
 
 // Refusal tells the caller of the pool that a request is not run.
