--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -38,9 +38,16 @@
 	// ReadyAddress and DirectoryAddress are listening addresses that a platform with a store asks for.
 	ReadyAddress     string
 	DirectoryAddress string
-	// SteeredHosts is the least number of hosts that callers are steered to, and SlotsPerHost the slots of targets for each one more.
+	// SteeredHosts is the least number of hosts that callers are steered to.
 	SteeredHosts int
-	SlotsPerHost int
+	// Bootstrap says that the whole system starts for the first time.
+	Bootstrap bool
+	// Cores and LinkMbits are the processor and the network of the host.
+	Cores     float64
+	LinkMbits float64
+	// SlotsPerCore and SlotsPerMbit are the slots of targets that a host can serve with them.
+	SlotsPerCore int
+	SlotsPerMbit int
 	// DirectoryHold is how long callers may keep a directory answer of a host with a store, and StopHold how long a stopping host serves on.
 	DirectoryHold time.Duration
 	StopHold      time.Duration
@@ -83,6 +90,11 @@
 	FormStore = "Store"
 )
 
+// Capacity returns the number of targets' slots that the host can serve.
+func (s *Settings) Capacity() int {
+	return int(min(s.Cores*float64(s.SlotsPerCore), s.LinkMbits*float64(s.SlotsPerMbit)))
+}
+
 // Fields describes every key of the settings and stores parsed values into s.
 func (s *Settings) Fields() []spec.Field {
 	return slices.Concat(s.hostFields(), s.limitFields(), s.storeFields())
@@ -96,7 +108,11 @@
 		{Section: "Host", Key: "ReadyAddress", Default: unusedAddress, Allowed: "IP:port", About: "Where the platform asks whether the host is ready (form Store).", Set: address(&s.ReadyAddress)},
 		{Section: "Host", Key: "DirectoryAddress", Default: unusedAddress, Allowed: "IP:port", About: "Where callers ask for addresses (form Store).", Set: address(&s.DirectoryAddress)},
 		{Section: "Steering", Key: "Hosts", Unit: "hosts", Default: "3", Allowed: "1 to 1000", About: "Least number of hosts that callers are steered to (form Store).", Set: spec.Int(&s.SteeredHosts, 1, 1000)},
-		{Section: "Steering", Key: "SlotsPerHost", Unit: "slots", Default: "60", Allowed: "1 to 100000", About: "Slots of targets for each steered host (form Store).", Set: spec.Int(&s.SlotsPerHost, 1, 100000)},
+		{Section: "Host", Key: "Bootstrap", Default: "false", Allowed: "true or false", About: "Whether the whole system starts for the first time (form Store).", Set: flag(&s.Bootstrap)},
+		{Section: "Host", Key: "Cores", Unit: "cores", Default: "1", Allowed: "0.01 to 1024", About: "Processor of the host (form Store).", Set: spec.Float(&s.Cores, 0.01, 1024)},
+		{Section: "Host", Key: "LinkMbits", Unit: "Mbit/s", Default: "1000", Allowed: "1 to 1000000", About: "Network of the host (form Store).", Set: spec.Float(&s.LinkMbits, 1, 1000000)},
+		{Section: "Steering", Key: "SlotsPerCore", Unit: "slots", Default: "300", Allowed: "1 to 100000", About: "Slots of targets that a core serves at about a quarter of its time: a request takes 0.5 ms, and a slot turns out one or two requests a second (form Store).", Set: spec.Int(&s.SlotsPerCore, 1, 100000)},
+		{Section: "Steering", Key: "SlotsPerMbit", Unit: "slots", Default: "5", Allowed: "1 to 100000", About: "Slots of targets that a Mbit/s serves at about a quarter of the link: a request takes 6 KB in and out (form Store).", Set: spec.Int(&s.SlotsPerMbit, 1, 100000)},
 		{Section: "Steering", Key: "DirectoryHoldMillis", Unit: "ms", Default: "2000", Allowed: "100 to 600000", About: "How long callers may keep a directory answer (form Store).", Set: spec.Millis(&s.DirectoryHold, 100*time.Millisecond, 10*time.Minute)},
 		{Section: "Stop", Key: "HoldMillis", Unit: "ms", Default: "4500", Allowed: "0 to 600000", About: "How long a stopping host takes requests of callers that have not heard of it yet (form Store).", Set: spec.Millis(&s.StopHold, 0, 10*time.Minute)},
 		{Section: "Stop", Key: "WithinMillis", Unit: "ms", Default: "5700", Allowed: "0 to 600000", About: "Time from the signal to stop to the exit, less than the platform's grace time (form Store).", Set: spec.Millis(&s.StopWithin, 0, 10*time.Minute)},
@@ -145,6 +161,14 @@
 	return err == nil
 }
 
+func flag(into *bool) func(string) bool {
+	return func(value string) bool {
+		parsed, err := strconv.ParseBool(value)
+		*into = parsed
+		return err == nil
+	}
+}
+
 func isAddress(value string) bool {
 	host, port, err := net.SplitHostPort(value)
 	if err != nil {
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,10 @@
 	forgetFactor = 12
 	// strangersAfter is how long a fresh host waits for the store before it asks other hosts.
 	strangersAfter = 300 * time.Millisecond
+	// seedsPatience is how long the first reading is left to the seeds; traffic starts seconds after the hosts.
+	seedsPatience = 2 * time.Second
+	// resumingAfter is how long the beacons of a host may stand still before it counts as having been paused.
+	resumingAfter = time.Second
 	// isolatedAfter is how long a host that reaches neither the log nor a peer goes on.
 	isolatedAfter = 9 * time.Second
 )
@@ -37,6 +42,7 @@
 type Daemon struct {
 	settings    config.Settings
 	incarnation uint64
+	started     time.Time
 	log         *slog.Logger
 	platLog     *slog.Logger
 	peerLog     *slog.Logger
@@ -79,6 +85,8 @@
 	// steeredNow are the hosts that callers are steered to, and place is this host's among them.
 	steeredNow []steer.Host
 	place      int
+	// heard is when the last beacon of each host came.
+	heard map[string]time.Time
 	// beacons numbers the beacons of this incarnation.
 	beacons uint64
 
@@ -106,6 +114,7 @@
 	d := &Daemon{
 		settings:    *settings,
 		incarnation: incarnation,
+		started:     now,
 		log:         loggers.For("entry"),
 		platLog:     loggers.For("plat"),
 		peerLog:     loggers.For("peer"),
@@ -124,6 +133,7 @@
 		leads:       make(map[string]time.Duration),
 		testing:     make(map[string]bool),
 		joins:       make(map[string]chan struct{}),
+		heard:       make(map[string]time.Time),
 
 		configuration: newFollowed(TopicConfiguration),
 		targets:       newFollowed(TopicTargets),
@@ -134,10 +144,7 @@
 	}
 	d.counters = newCounters(d.metrics)
 	d.metrics.NewGauge("curranttiller_control_bytes", func() float64 { return float64(control.Load()) })
-	d.members = member.New(d.selfInfo(), member.Timing{
-		FailAfter:   settings.FailAfter,
-		ForgetAfter: forgetFactor * settings.FailAfter,
-	}, incarnation)
+	d.members = member.New(d.selfInfo(), d.timing(), incarnation)
 	d.keys = settle.New(settings.Name, incarnation, settle.Limits{
 		Keys:  settings.KeysRemembered,
 		Bytes: settings.AnswerBytesRemembered,
@@ -145,6 +152,10 @@
 	return d
 }
 
+func (d *Daemon) timing() member.Timing {
+	return member.Timing{FailAfter: d.settings.FailAfter, ForgetAfter: forgetFactor * d.settings.FailAfter}
+}
+
 func (d *Daemon) selfInfo() member.Info {
 	return member.Info{
 		Name:          d.settings.Name,
@@ -154,6 +165,7 @@
 		PeerAddress:   d.settings.PeerAdvertised,
 		AdminAddress:  d.settings.AdminAddress,
 		BeaconAddress: d.settings.BeaconAddress,
+		Capacity:      d.settings.Capacity(),
 	}
 }
 
@@ -208,10 +220,10 @@
 	})
 }
 
-// learnFromStrangers asks the seeds of the settings for facts while the store
-// does not answer.
+// learnFromStrangers asks the seeds of the settings in turn for facts, while the
+// store does not answer or is left to others.
 func (d *Daemon) learnFromStrangers() {
-	for {
+	for turn := d.incarnation; ; turn++ {
 		d.pause(strangersAfter)
 		select {
 		case <-d.ctx.Done():
@@ -220,13 +232,23 @@
 			return
 		default:
 		}
-		for _, address := range d.seeds() {
+		if seeds := d.seeds(); len(seeds) > 0 {
+			address := seeds[turn%uint64(len(seeds))]
 			d.learnFacts(d.configuration, address)
 			d.learnFacts(d.targets, address)
 		}
 	}
 }
 
+// waitsForSeeds reports whether a host leaves the first reading of the store to
+// the seeds: when the whole system starts, nobody is served yet.
+func (d *Daemon) waitsForSeeds(now time.Time) bool {
+	if !d.settings.Bootstrap || len(d.settings.Peers) == 0 || slices.Contains(d.settings.Peers, d.settings.PeerAdvertised) {
+		return false
+	}
+	return now.Sub(d.started) < seedsPatience
+}
+
 // Leave takes the host out of callers' answers and tells every member.
 func (d *Daemon) Leave(ctx context.Context) {
 	if d.draining.Swap(true) {
@@ -316,5 +338,9 @@
 // isResuming reports whether the process has just been paused: it then waits
 // for a beat of its own clock before it says anything about others.
 func (d *Daemon) isResuming(now time.Time) bool {
-	return now.UnixNano()-d.lastBeat.Load() > int64(d.settings.FailAfter/2+d.settings.HeartbeatPeriod)
+	limit := d.settings.FailAfter/2 + d.settings.HeartbeatPeriod
+	if d.adapter.Store != nil {
+		limit = resumingAfter
+	}
+	return now.UnixNano()-d.lastBeat.Load() > int64(limit)
 }
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -31,8 +31,10 @@
 	unknownRouteAge = 1500 * time.Millisecond
 	// factsTimeout bounds the question of what another host knows.
 	factsTimeout = 500 * time.Millisecond
+	// sourceStore names the store as the source of facts in log lines.
+	sourceStore = "store"
 	// meetAfter is how long a fresh host waits to hear of others before it looks for them in the store.
-	meetAfter = time.Second
+	meetAfter = 2 * time.Second
 )
 
 // storeTurn states who reads the store when: a change is in force on every host
@@ -92,7 +94,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !f.topic.IsKnown() {
-		return true
+		return !d.waitsForSeeds(now)
 	}
 	return f.topic.Age(now) >= storeTurn.Due(d.place)
 }
@@ -123,7 +125,7 @@
 		return err
 	}
 	d.logContact.Store(time.Now().UnixNano())
-	d.takeDelta(f, &delta, "store")
+	d.takeDelta(f, &delta, sourceStore)
 	return nil
 }
 
@@ -147,7 +149,7 @@
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if f.isLost && source == "store" {
+	if f.isLost && source == sourceStore {
 		f.isLost = false
 		d.platLog.Info("store regained", "Topic", f.name, "AgeMillis", f.topic.Age(now).Milliseconds())
 	}
@@ -157,7 +159,9 @@
 	if changed || !wasKnown {
 		d.platLog.Info("facts changed", "Topic", f.name, "Source", source, "Through", f.topic.Through(), "Facts", len(delta.Facts), "Whole", delta.Whole)
 		d.putInForce(f, now)
-		d.beaconNow()
+		if source == sourceStore {
+			d.beaconNow()
+		}
 	}
 }
 
@@ -219,6 +223,10 @@
 
 // noteTargets logs the targets that joined, left or changed their state; d.mu is held.
 func (d *Daemon) noteTargets(hosts []plat.Host) {
+	if d.hosts == nil {
+		d.platLog.Info("targets listed", "Targets", len(hosts))
+		return
+	}
 	before := make(map[string]plat.Host, len(d.hosts))
 	for i := range d.hosts {
 		before[d.hosts[i].Name] = d.hosts[i]
@@ -308,25 +316,28 @@
 	return nil
 }
 
-// meet makes this host known in the store and looks for others there if the
-// seeds of the settings led to none.
+// meet looks for other hosts in the store if the seeds of the settings led to
+// none, and makes this host known there while callers are steered to it: these
+// hosts are few, and know all others.
 func (d *Daemon) meet() {
-	retry := storeRetryFirst
+	isAnnounced := false
 	for d.ctx.Err() == nil {
-		err := d.announce()
-		if err == nil {
-			break
+		d.pause(meetAfter)
+		d.mu.Lock()
+		isAlone := len(d.members.Members(time.Now())) < 2
+		isSteered := d.place < len(d.steeredNow)
+		d.mu.Unlock()
+		if isAlone {
+			d.meetThroughStore()
 		}
-		d.platLog.Debug("announcing this host in the store failed; it is tried again", "Error", err.Error())
-		d.pause(retry)
-		retry = min(2*retry, storeRetryMost)
-	}
-	d.pause(meetAfter)
-	d.mu.Lock()
-	isAlone := len(d.members.Members(time.Now())) < 2
-	d.mu.Unlock()
-	if isAlone {
-		d.meetThroughStore()
+		if !isSteered || isAnnounced {
+			continue
+		}
+		if err := d.announce(); err != nil {
+			d.platLog.Debug("announcing this host in the store failed; it is tried again", "Error", err.Error())
+			continue
+		}
+		isAnnounced = true
 	}
 }
 
@@ -364,6 +375,5 @@
 	for i := range d.hosts {
 		slots += d.hosts[i].Slots
 	}
-	count := max(d.settings.SteeredHosts, (slots+d.settings.SlotsPerHost-1)/d.settings.SlotsPerHost)
-	return steer.Holders("", hosts, count)
+	return steer.Strong(hosts, slots, d.settings.SteeredHosts)
 }
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -19,24 +19,41 @@
 
 const (
 	heartbeatTimeout = time.Second
+	// membersPerPeriod is the number of members for which the heartbeat period of the settings is meant.
+	membersPerPeriod = 16
 	// keepCounters converts the time that keys are remembered into heartbeat counters.
 	keepKeysFor = 10 * time.Minute
 )
 
 func (d *Daemon) runMembers() {
 	d.contactSeeds()
-	ticker := time.NewTicker(d.settings.HeartbeatPeriod)
-	defer ticker.Stop()
+	timer := time.NewTimer(d.settings.HeartbeatPeriod)
+	defer timer.Stop()
 	for {
 		select {
 		case <-d.ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
+			timer.Reset(d.heartbeatPeriod())
 			d.runHeartbeat()
 		}
 	}
 }
 
+// heartbeatPeriod grows with the number of members on a platform with a store:
+// hosts that callers are steered to show by their beacons that they live, and
+// nothing is urgent about the others.
+func (d *Daemon) heartbeatPeriod() time.Duration {
+	if d.adapter.Store == nil {
+		return d.settings.HeartbeatPeriod
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	factor := max(1, float64(len(d.members.Members(time.Now())))/membersPerPeriod)
+	d.members.SetTiming(d.timing().WithFactor(factor))
+	return time.Duration(factor * float64(d.settings.HeartbeatPeriod))
+}
+
 // seeds lists the peer addresses of hosts to begin with: those of the settings,
 // and those on the platform's list, because the former may all have been replaced.
 func (d *Daemon) seeds() []string {
@@ -67,10 +84,7 @@
 	d.advanceKeys()
 	partner, found := d.members.Partner(now)
 	d.refreshHolding()
-	keep := make(map[string]bool)
-	for _, m := range d.members.Members(now) {
-		keep[m.PeerAddress] = true
-	}
+	keep := d.keptPeers(now, partner.PeerAddress)
 	d.mu.Unlock()
 	d.lastBeat.Store(now.UnixNano())
 	if !found {
@@ -81,6 +95,24 @@
 	d.done.Go(func() { d.exchangeTables(d.ctx, partner.PeerAddress, partner.Info) })
 }
 
+// keptPeers lists the peer addresses whose connections stay open. On a platform
+// with a store only steered hosts are asked again and again; d.mu is held.
+func (d *Daemon) keptPeers(now time.Time, partner string) map[string]bool {
+	keep := map[string]bool{partner: true}
+	if d.adapter.Store == nil {
+		for _, m := range d.members.Members(now) {
+			keep[m.PeerAddress] = true
+		}
+		return keep
+	}
+	for _, h := range d.steeredNow {
+		if m, found := d.members.Lookup(now, h.Name); found {
+			keep[m.PeerAddress] = true
+		}
+	}
+	return keep
+}
+
 // advanceKeys lets the keys of the current counter in before anyone can be told
 // of it; d.mu is held.
 func (d *Daemon) advanceKeys() {
@@ -259,6 +291,7 @@
 // service, because the requests of one caller go to several; d.mu is held.
 func (d *Daemon) recomputeSteered(hosts []steer.Host) {
 	steered := d.steered(hosts)
+	d.noteSteered(d.steeredNow, steered, time.Now())
 	if !slices.Equal(steered, d.steeredNow) {
 		names := make([]string, 0, len(steered))
 		for _, h := range steered {
@@ -278,7 +311,7 @@
 	alive := d.members.Alive(now)
 	hosts := make([]steer.Host, 0, len(alive))
 	for i := range alive {
-		hosts = append(hosts, steer.Host{Name: alive[i].Name, FailureDomain: alive[i].FailureDomain})
+		hosts = append(hosts, steer.Host{Name: alive[i].Name, FailureDomain: alive[i].FailureDomain, Capacity: alive[i].Capacity})
 	}
 	return hosts
 }
--- a/internal/entry/sight.go
+++ b/internal/entry/sight.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -14,7 +15,10 @@
 	// sightPeriod is the time between two beacons to hosts that callers are steered to; it is short against the time for which a target's speed lasts.
 	sightPeriod = 50 * time.Millisecond
 	// extentPeriod is the time between two beacons to the other hosts; their knowledge of the store must not seem too old.
-	extentPeriod = 400 * time.Millisecond
+	extentPeriod = 600 * time.Millisecond
+	// silentAfter is how long a steered host may send no beacon to another one, and farSilentAfter to any other host, before callers are sent elsewhere; datagrams get lost.
+	silentAfter    = 1200 * time.Millisecond
+	farSilentAfter = 2500 * time.Millisecond
 	// sleepNotable is how far the time awake may fall behind the time passed before the host counts as having slept.
 	sleepNotable = 200 * time.Millisecond
 )
@@ -47,6 +51,8 @@
 			d.doubtFacts()
 		}
 		now := time.Now()
+		d.lastBeat.Store(now.UnixNano())
+		d.failSilent(now)
 		isForAll := isUrgent || now.Sub(told) >= extentPeriod
 		if isForAll {
 			told = now
@@ -143,7 +149,9 @@
 	for _, h := range d.steeredNow {
 		isSteered[h.Name] = true
 	}
-	for _, m := range d.members.Alive(now) {
+	alive := d.members.Alive(now)
+	for i := range alive {
+		m := &alive[i]
 		switch {
 		case m.Name == d.settings.Name || m.BeaconAddress == "":
 		case isSteered[m.Name]:
@@ -169,6 +177,8 @@
 	for _, extent := range m.Topics {
 		d.takeExtent(extent, sender.PeerAddress, now)
 	}
+	d.members.Heard(now, m.Sender, m.Incarnation)
+	d.heard[m.Sender] = now
 	services := make(map[string]*service, len(m.Services))
 	for _, sight := range m.Services {
 		services[sight.Service] = d.services[sight.Service]
@@ -203,12 +213,46 @@
 	}
 }
 
+// failSilent takes steered hosts out of use that send no beacons any more. Hosts
+// that were steered to only lately get the time to send their first one.
+func (d *Daemon) failSilent(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	limit := farSilentAfter
+	if d.place < len(d.steeredNow) {
+		limit = silentAfter
+	}
+	isChanged := false
+	for _, h := range d.steeredNow {
+		m, found := d.members.Lookup(now, h.Name)
+		silence := now.Sub(d.heard[h.Name])
+		if h.Name == d.settings.Name || !found || silence < limit {
+			continue
+		}
+		d.peerLog.Warn("steered host sends no beacons; callers are sent elsewhere", "Host", h.Name, "SilentMillis", silence.Milliseconds())
+		d.members.Refused(now, h.Name, m.Incarnation)
+		isChanged = true
+	}
+	if isChanged {
+		d.refreshHolding()
+	}
+}
+
+// noteSteered starts the patience with hosts that callers are steered to from now on; d.mu is held.
+func (d *Daemon) noteSteered(before, after []steer.Host, now time.Time) {
+	for _, h := range after {
+		if !slices.Contains(before, h) {
+			d.heard[h.Name] = now
+		}
+	}
+}
+
 // sight returns what this host sees of the targets of the service.
 func (s *service) sight(now time.Time) beacon.Sight {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	sight := beacon.Sight{Service: s.name}
-	for _, seen := range s.pool.Sightings(now) {
+	for _, seen := range s.pool.Sightings(now, 2*sightPeriod) {
 		sight.Targets = append(sight.Targets, beacon.Seen{
 			ID: beacon.TargetID(seen.Target), InFlight: seen.InFlight, Slowdown: seen.Slowdown, Age: seen.Age,
 		})
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -72,14 +72,16 @@
 func memberToWire(i *member.Info) *peerpb.Member {
 	return &peerpb.Member{
 		Name: i.Name, Incarnation: i.Incarnation, Counter: i.Counter, FailureDomain: i.FailureDomain,
-		CallerAddress: i.CallerAddress, PeerAddress: i.PeerAddress, AdminAddress: i.AdminAddress, BeaconAddress: i.BeaconAddress, Leaving: i.Leaving,
+		CallerAddress: i.CallerAddress, PeerAddress: i.PeerAddress, AdminAddress: i.AdminAddress, BeaconAddress: i.BeaconAddress,
+		Capacity: uint32(max(i.Capacity, 0)), Leaving: i.Leaving,
 	}
 }
 
 func memberFromWire(m *peerpb.Member) member.Info {
 	return member.Info{
 		Name: m.GetName(), Incarnation: m.GetIncarnation(), Counter: m.GetCounter(), FailureDomain: m.GetFailureDomain(),
-		CallerAddress: m.GetCallerAddress(), PeerAddress: m.GetPeerAddress(), AdminAddress: m.GetAdminAddress(), BeaconAddress: m.GetBeaconAddress(), Leaving: m.GetLeaving(),
+		CallerAddress: m.GetCallerAddress(), PeerAddress: m.GetPeerAddress(), AdminAddress: m.GetAdminAddress(), BeaconAddress: m.GetBeaconAddress(),
+		Capacity: int(m.GetCapacity()), Leaving: m.GetLeaving(),
 	}
 }
 
--- a/pkg/choose/pace.go
+++ b/pkg/choose/pace.go
@@ -60,6 +60,14 @@
 	p.own = own
 }
 
+// age is how old the slowdown is; zero if nothing was heard.
+func (p *pace) age(now time.Time) time.Duration {
+	if p.at.IsZero() {
+		return 0
+	}
+	return now.Sub(p.at)
+}
+
 // expected is the slowdown to expect now: what was last heard, fading to the usual one.
 func (p *pace) expected(now time.Time, usual float64) float64 {
 	if p.slowdown == 0 {
--- a/pkg/choose/speed.go
+++ b/pkg/choose/speed.go
@@ -20,7 +20,7 @@
 	fullShare = 0.75
 	fullCost  = 0.5
 	// farCost is the relative cost of a target in another failure domain.
-	farCost = 0.08
+	farCost = 0.3
 	// alike is how close two costs are for the longest rest to decide.
 	alike = 0.05
 	// waitRatio is how much faster a busy target must be for a request to wait for it.
@@ -249,7 +249,7 @@
 	expected := time.Duration(float64(p.work(r)) * last.slowdown)
 	grant := Grant{
 		Request: r.ID, Target: target.Name, Attempt: len(r.attempts), Cause: cause, SilentAfter: silentLate * expected,
-		Slowdown: last.slowdown, HeardAgo: last.sent.Sub(target.pace.at), Waited: last.sent.Sub(r.arrived), Expected: expected,
+		Slowdown: last.slowdown, HeardAgo: target.pace.age(last.sent), Waited: last.sent.Sub(r.arrived), Expected: expected,
 	}
 	if r.Idempotent && !r.Single && !r.isSpent() && p.settings.HedgeQuantile < 1 {
 		grant.HedgeAfter = max(hedgeLate*expected, time.Duration(hedgeShare*float64(r.objective())))
@@ -322,12 +322,13 @@
 	return names
 }
 
-// Sightings returns what this host knows of the targets at first hand.
-func (p *Pool) Sightings(now time.Time) []Sighting {
+// Sightings returns what this host has heard of the targets at first hand within
+// a time, and where it has requests.
+func (p *Pool) Sightings(now time.Time, within time.Duration) []Sighting {
 	var seen []Sighting
 	for _, s := range p.targets {
 		sighting := Sighting{Target: s.Name, InFlight: s.inFlight}
-		if age := now.Sub(s.pace.at); s.pace.own && age < paceFade {
+		if age := now.Sub(s.pace.at); s.pace.own && age < within {
 			sighting.Slowdown = s.pace.slowdown
 			sighting.Age = age
 		}
--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -2,9 +2,9 @@
 
 import (
 	"cmp"
-	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -44,7 +44,9 @@
 	PeerAddress   string
 	AdminAddress  string
 	BeaconAddress string
-	Leaving       bool
+	// Capacity is the number of targets' slots that the host can serve; zero if it does not say.
+	Capacity int
+	Leaving  bool
 }
 
 // newerThan reports whether i supersedes other; a restarted member has a larger incarnation.
@@ -150,6 +152,26 @@
 	known.Heard = now
 }
 
+// Heard records a sign of life of a member's incarnation from elsewhere than an exchange.
+func (t *Table) Heard(now time.Time, name string, incarnation uint64) {
+	m, found := t.members[name]
+	if found && m.Incarnation == incarnation {
+		m.Heard = now
+	}
+}
+
+// WithFactor returns the periods stretched by a factor, for a table with many members.
+func (t Timing) WithFactor(factor float64) Timing {
+	t.FailAfter = time.Duration(float64(t.FailAfter) * factor)
+	t.ForgetAfter = time.Duration(float64(t.ForgetAfter) * factor)
+	return t
+}
+
+// SetTiming changes the periods.
+func (t *Table) SetTiming(timing Timing) {
+	t.timing = timing
+}
+
 // Refused records that a member's address refused a connection, which fails it at once until it is heard of again.
 func (t *Table) Refused(now time.Time, name string, incarnation uint64) {
 	m, found := t.members[name]
@@ -214,7 +236,10 @@
 // id hashes the name, the incarnation and whether the member leaves. Two rows
 // with the same ID would share their counters, which costs speed only.
 func (i *Info) id() uint32 {
-	return uint32(xxhash.Sum64String(fmt.Sprintf("%s %d %t", i.Name, i.Incarnation, i.Leaving)))
+	text := append([]byte(i.Name), ' ')
+	text = strconv.AppendUint(text, i.Incarnation, 10)
+	text = strconv.AppendBool(append(text, ' '), i.Leaving)
+	return uint32(xxhash.Sum64(text))
 }
 
 // rows returns self and every member that has not failed, so that a dead
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,6 +12,8 @@
 type Host struct {
 	Name          string
 	FailureDomain string
+	// Capacity is the number of targets' slots that the host can serve; zero if it is unknown.
+	Capacity int
 }
 
 // Target is a target as steering sees it.
@@ -38,17 +41,44 @@
 	if count <= 0 || count >= len(ranked) {
 		return ranked
 	}
-	var first, later []Host
-	used := make(map[string]int)
-	for _, h := range ranked {
-		if used[h.FailureDomain] == 0 {
-			first = append(first, h)
-		} else {
-			later = append(later, h)
+	return Spread(ranked)[:count]
+}
+
+// Strong returns the hosts for a number of slots, at least as many as least: the
+// strongest ones first and, among equals, in as many failure domains as possible.
+func Strong(hosts []Host, slots, least int) []Host {
+	classes := make(map[int][]Host)
+	for _, h := range Ranked("", hosts) {
+		classes[h.Capacity] = append(classes[h.Capacity], h)
+	}
+	var sorted []Host
+	for _, capacity := range slices.Backward(slices.Sorted(maps.Keys(classes))) {
+		sorted = append(sorted, Spread(classes[capacity])...)
+	}
+	served := 0
+	for i, h := range sorted {
+		if i >= least && served >= slots {
+			return sorted[:i]
 		}
+		served += h.Capacity
+	}
+	return sorted
+}
+
+// Spread returns the hosts reordered so that the first ones stand in as many
+// failure domains as possible; otherwise the order stays.
+func Spread(hosts []Host) []Host {
+	turns := make([][]Host, 0, len(hosts))
+	used := make(map[string]int)
+	for _, h := range hosts {
+		turn := used[h.FailureDomain]
 		used[h.FailureDomain]++
+		if turn == len(turns) {
+			turns = append(turns, nil)
+		}
+		turns[turn] = append(turns[turn], h)
 	}
-	return append(first, later...)[:count]
+	return slices.Concat(turns...)
 }
 
 // Held returns the targets that one of the holders holds. Targets are dealt to
--- a/pkg/steer/steer_test.go
+++ b/pkg/steer/steer_test.go
@@ -66,3 +66,34 @@
 	}
 	is.Equal(len(seen), len(targets))
 }
+
+func TestStrongTakesEnoughOfTheStrongestHosts(t *testing.T) {
+	uneven := []steer.Host{
+		{Name: "a1", FailureDomain: "a", Capacity: 50}, {Name: "a2", FailureDomain: "a", Capacity: 200},
+		{Name: "b1", FailureDomain: "b", Capacity: 200}, {Name: "b2", FailureDomain: "b", Capacity: 50},
+		{Name: "c1", FailureDomain: "c", Capacity: 200}, {Name: "c2", FailureDomain: "c", Capacity: 200},
+	}
+	tests := []struct {
+		name         string
+		slots, least int
+		want         int
+		weakest      int
+	}{
+		{name: "least", slots: 10, least: 3, want: 3, weakest: 200},
+		{name: "more slots", slots: 700, least: 3, want: 4, weakest: 200},
+		{name: "more than all can serve", slots: 9000, least: 3, want: 6, weakest: 50},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			strong := steer.Strong(uneven, test.slots, test.least)
+			is.Equal(len(strong), test.want)
+			is.Equal(strong[len(strong)-1].Capacity, test.weakest)
+			domains := make(map[string]bool)
+			for _, h := range strong[:3] {
+				domains[h.FailureDomain] = true
+			}
+			is.Equal(len(domains), 3)
+		})
+	}
+}
