--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -40,6 +40,8 @@
 	running   int
 	body      *replayBody
 	rescued   bool
+	// mayHaveRun says that an attempt has ended of which that is possible.
+	mayHaveRun bool
 }
 
 // attempt is one try at a target.
@@ -172,10 +174,10 @@
 	return r.withEarlier(fault.New(fault.NotRun, http.StatusServiceUnavailable, reason))
 }
 
-// withEarlier corrects a verdict for attempts that are still out or of which
-// one may have run; for retried non-idempotent requests all earlier ones did not.
+// withEarlier corrects a verdict for attempts that are still out or of which one
+// may have run.
 func (r *run) withEarlier(failed *fault.Error) *fault.Error {
-	if r.running > 0 || (r.request.IsIdempotent() && len(r.attempts) > 0) {
+	if r.running > 0 || r.mayHaveRun {
 		return failed.WithVerdict(fault.MayHaveRun)
 	}
 	return failed
@@ -272,6 +274,9 @@
 		return true, nil
 	}
 	r.service.finish(r.id, got.attempt, outcome)
+	if verdictOf(got) != fault.NotRun {
+		r.mayHaveRun = true
+	}
 	if outcome.Kind == choose.Answered {
 		return true, nil
 	}
@@ -330,6 +335,10 @@
 	if got.err != nil {
 		return got.err
 	}
+	if r.request.Terms != nil && got.answer.Verdict == fault.NotRun {
+		// The target declined this attempt; another may be taken at once.
+		return r.withEarlier(fault.New(fault.NotRun, http.StatusServiceUnavailable, "TargetDeclined"))
+	}
 	return nil
 }
 
--- a/internal/entry/runlog.go
+++ b/internal/entry/runlog.go
@@ -46,6 +46,9 @@
 		slog.Int64("TargetMillis", won.latency.Milliseconds()),
 		slog.Int64("TotalMillis", time.Since(r.started).Milliseconds()),
 	)
+	if report := won.answer.Report; report != nil {
+		fields = append(fields, slog.Int("ReportedRunning", report.Running), slog.Int("ReportedWaiting", report.Waiting), slog.Float64("ReportedSlowdown", report.Slowdown))
+	}
 	r.service.daemon.requestLog.Info("request answered", fields...)
 }
 
--- a/pkg/choose/pace.go
+++ b/pkg/choose/pace.go
@@ -38,7 +38,9 @@
 	// progress is the work at the usual speed that a request running all the time would have got done, up to at.
 	progress time.Duration
 	probing  bool
-	remote   map[string]remoteLoad
+	// oldestExpected is the expected latency of the oldest attempt at the target, roughly.
+	oldestExpected time.Duration
+	remote         map[string]remoteLoad
 }
 
 // remoteLoad is the number of requests that another host has at the target.
--- a/pkg/choose/pool.go
+++ b/pkg/choose/pool.go
@@ -14,6 +14,8 @@
 const (
 	// loadFade is the time constant of the smoothed load.
 	loadFade = 500 * time.Millisecond
+	// loadPeriod is the least time between two measurements of the load.
+	loadPeriod = 5 * time.Millisecond
 	// overloadAfter is how long the wait must be too long before it counts as an overload and not as a burst.
 	overloadAfter = time.Second
 	// extraBurst is how many extra attempts may be saved up.
@@ -70,6 +72,9 @@
 	// overloaded says that the wait has been too long for a while.
 	overloaded bool
 	scratch    []*state
+	compared   []candidate
+	// byName finds the targets.
+	byName map[string]*state
 	// classes holds the work of each class of requests, for the policy Speed.
 	classes map[string]*typical
 	// usual is the smoothed slowdown that targets report.
@@ -130,6 +135,7 @@
 // Targets that join a pool in use start cold; the first ones do not.
 func (p *Pool) SetTargets(now time.Time, targets []Target) Actions {
 	next := make([]*state, 0, len(targets))
+	byName := make(map[string]*state, len(targets))
 	for _, t := range targets {
 		s := p.find(t.Name)
 		if s == nil {
@@ -137,7 +143,9 @@
 		}
 		s.Target = t
 		next = append(next, s)
+		byName[t.Name] = s
 	}
+	p.byName = byName
 	p.known = p.known || len(targets) > 0
 	p.targets = next
 	return p.dispatch(now)
@@ -152,12 +160,7 @@
 }
 
 func (p *Pool) find(name string) *state {
-	for _, s := range p.targets {
-		if s.Name == name {
-			return s
-		}
-	}
-	return nil
+	return p.byName[name]
 }
 
 // Arrive takes a request, which is then granted, refused or waits.
@@ -371,7 +374,10 @@
 			p.tryEject(now, s, "errors in a row")
 		}
 	case Declined:
-		s.limit = max(s.inFlight, 1)
+		// A target that declines with slots free is not full, it fails.
+		if outcome.Report == nil || outcome.Report.Running+outcome.Report.Waiting >= p.slots(s) {
+			s.limit = max(s.inFlight, 1)
+		}
 	case Cancelled:
 		s.lastAnswer = now
 		s.lastLatency = max(outcome.Latency, p.typical.median)
@@ -415,10 +421,19 @@
 
 // Tick lets time pass: ejections end and deadlines of waiting requests pass.
 func (p *Pool) Tick(now time.Time) Actions {
-	return p.dispatch(now)
+	if p.settings.Policy != spec.PolicySpeed {
+		return p.dispatch(now)
+	}
+	actions := p.expireBySpeed(now)
+	granted := p.dispatch(now)
+	actions.Grants = granted.Grants
+	return actions
 }
 
 func (p *Pool) noteLoad(now time.Time) {
+	if now.Sub(p.loadTime) < loadPeriod {
+		return
+	}
 	busy := p.waiting.len()
 	slots := 0
 	for _, s := range p.targets {
--- a/pkg/choose/speed.go
+++ b/pkg/choose/speed.go
@@ -1,6 +1,7 @@
 package choose
 
 import (
+	"slices"
 	"time"
 )
 
@@ -79,13 +80,10 @@
 }
 
 // cost compares targets: the slowdown with everything that speaks against a target.
-func (p *Pool) cost(now time.Time, s *state, work time.Duration) float64 {
+func (p *Pool) cost(now time.Time, s *state) float64 {
 	cost := p.slowdown(now, s)
-	if len(s.sent) > 0 && work > 0 {
-		late := float64(now.Sub(s.sent[0])) / (float64(work) * cost)
-		if late > overdue {
-			cost *= late / overdue
-		}
+	if late := s.overdue(now); late > overdue {
+		cost *= late / overdue
 	}
 	busy := float64(s.occupancy(now)+1) / float64(max(p.slots(s), 1))
 	if busy > fullShare {
@@ -100,6 +98,14 @@
 	return cost * (1 + errorCost*s.pace.errorShare(now))
 }
 
+// overdue is how many times its expected latency the oldest attempt at the target has been out.
+func (s *state) overdue(now time.Time) float64 {
+	if len(s.sent) == 0 || s.pace.oldestExpected <= 0 {
+		return 0
+	}
+	return float64(now.Sub(s.sent[0])) / float64(s.pace.oldestExpected)
+}
+
 // freeBySpeed reports whether the target can start a request at once.
 func (p *Pool) freeBySpeed(now time.Time, s *state) bool {
 	most := p.slots(s)
@@ -109,43 +115,80 @@
 	return s.occupancy(now) < max(most, 1)
 }
 
+// candidate is a target in a comparison that may serve several requests.
+type candidate struct {
+	*state
+
+	cost float64
+	open bool
+}
+
+// candidates lists the targets that may take work, with their costs.
+func (p *Pool) candidates(now time.Time) []candidate {
+	list := p.compared[:0]
+	for _, s := range p.targets {
+		if s.wantsWork(now) {
+			list = append(list, candidate{state: s, cost: p.cost(now, s), open: p.freeBySpeed(now, s)})
+		}
+	}
+	if len(list) == 0 {
+		for _, s := range p.targets {
+			if !s.Leaving && !s.draining {
+				list = append(list, candidate{state: s, cost: p.cost(now, s), open: p.freeBySpeed(now, s)})
+			}
+		}
+	}
+	p.compared = list
+	return list
+}
+
 // choice is the outcome of a comparison of the targets.
 type choice struct {
-	free     *state
-	freeCost float64
+	free *candidate
 	// bestCost is the lowest cost of any target, busy ones included.
 	bestCost float64
 	// usable and open count the targets that may take the request, and those that can start it at once.
 	usable, open int
 }
 
-func (p *Pool) choose(now time.Time, r *pending) choice {
-	work := p.work(r)
+// choose compares the candidates for a request. Targets already tried are left
+// out while others remain.
+func choose(list []candidate, r *pending) choice {
+	c := chooseFrom(list, func(s *candidate) bool { return s.allows(r) && !r.hasTried(s.Name) })
+	if c.usable > 0 {
+		return c
+	}
+	return chooseFrom(list, func(s *candidate) bool { return s.allows(r) })
+}
+
+func chooseFrom(list []candidate, allows func(s *candidate) bool) choice {
 	var c choice
-	for _, s := range p.usable(now, r) {
-		cost := p.cost(now, s, work)
-		if c.bestCost == 0 || cost < c.bestCost {
-			c.bestCost = cost
+	for i := range list {
+		s := &list[i]
+		if !allows(s) {
+			continue
 		}
 		c.usable++
-		if !p.freeBySpeed(now, s) {
+		if c.bestCost == 0 || s.cost < c.bestCost {
+			c.bestCost = s.cost
+		}
+		if !s.open {
 			continue
 		}
 		c.open++
-		if c.free == nil || isCheaper(cost, s, c.freeCost, c.free) {
+		if c.free == nil || s.isCheaper(c.free) {
 			c.free = s
-			c.freeCost = cost
 		}
 	}
 	return c
 }
 
 // isCheaper lets the longest rest decide between targets that cost nearly the same.
-func isCheaper(cost float64, s *state, bestCost float64, best *state) bool {
-	if cost < bestCost*(1-alike) || cost > bestCost*(1+alike) {
-		return cost < bestCost
+func (c *candidate) isCheaper(than *candidate) bool {
+	if c.cost < than.cost*(1-alike) || c.cost > than.cost*(1+alike) {
+		return c.cost < than.cost
 	}
-	return s.used < best.used
+	return c.used < than.used
 }
 
 // arriveBySpeed refuses at once what could be answered only too late, while
@@ -154,6 +197,9 @@
 	if wait := p.waitBefore(r); wait > 0 && p.isLateByWaiting(now, wait, r) {
 		return Actions{Refusals: []Refusal{{Request: r.ID, Reason: ReasonQueueFull, RetryAfter: wait}}}
 	}
+	if p.isHopeless(now, r) {
+		return refuse(r.ID, ReasonDeadline)
+	}
 	p.requests[r.ID] = r
 	p.waiting.pushBack(r)
 	return p.dispatch(now)
@@ -194,33 +240,53 @@
 // then the others, as long as targets are free.
 func (p *Pool) dispatchBySpeed(now time.Time) Actions {
 	var actions Actions
-	for _, inTime := range []bool{true, false} {
-		for r := range p.waiting.all {
-			if p.isHopeless(now, r) {
-				p.waiting.remove(r.ID)
-				actions.Refusals = append(actions.Refusals, Refusal{Request: r.ID, Reason: ReasonDeadline})
-				continue
-			}
-			if p.isInTime(now, r) != inTime {
-				continue
-			}
-			c := p.choose(now, r)
-			if c.free == nil {
-				break
-			}
-			if p.waitsForFaster(now, r, c) {
-				continue
-			}
+	if p.waiting.len() > 0 {
+		list := p.candidates(now)
+		p.dispatchSome(now, list, true, &actions)
+		p.dispatchSome(now, list, false, &actions)
+	}
+	p.noteLoad(now)
+	return actions
+}
+
+// dispatchSome grants the waiting requests that can, or cannot, meet their objective any more.
+func (p *Pool) dispatchSome(now time.Time, list []candidate, inTime bool, actions *Actions) {
+	if !slices.ContainsFunc(list, func(c candidate) bool { return c.open }) {
+		return
+	}
+	for r := range p.waiting.all {
+		if p.isInTime(now, r) != inTime {
+			continue
+		}
+		c := choose(list, r)
+		if c.free == nil {
+			return
+		}
+		if p.waitsForFaster(now, r, c) {
+			continue
+		}
+		p.waiting.remove(r.ID)
+		cost := c.free.cost
+		grant := p.grant(now, r, c.free.state, "expected to answer first")
+		grant.Usable = c.usable
+		grant.Open = c.open
+		grant.Best = c.bestCost
+		actions.Grants = append(actions.Grants, grant)
+		p.granted += grantedGain * (cost - p.granted)
+		c.free.cost = p.cost(now, c.free.state)
+		c.free.open = p.freeBySpeed(now, c.free.state)
+	}
+}
+
+// expireBySpeed refuses the waiting requests that no target could answer before their deadline.
+func (p *Pool) expireBySpeed(now time.Time) Actions {
+	var actions Actions
+	for r := range p.waiting.all {
+		if p.isHopeless(now, r) {
 			p.waiting.remove(r.ID)
-			grant := p.grant(now, r, c.free, "expected to answer first")
-			grant.Usable = c.usable
-			grant.Open = c.open
-			grant.Best = c.bestCost
-			actions.Grants = append(actions.Grants, grant)
-			p.granted += grantedGain * (c.freeCost - p.granted)
+			actions.Refusals = append(actions.Refusals, Refusal{Request: r.ID, Reason: ReasonDeadline})
 		}
 	}
-	p.noteLoad(now)
 	return actions
 }
 
@@ -232,11 +298,11 @@
 // waitsForFaster reports whether a request does better to wait for a busy target
 // than to start at the free one, which is slow at the moment.
 func (p *Pool) waitsForFaster(now time.Time, r *pending, c choice) bool {
-	if c.freeCost < waitRatio*c.bestCost {
+	if c.free.cost < waitRatio*c.bestCost {
 		return false
 	}
 	objective := r.objective()
-	expected := time.Duration(float64(p.work(r)) * c.freeCost)
+	expected := time.Duration(float64(p.work(r)) * c.free.cost)
 	if !now.Add(expected).After(r.arrived.Add(objective)) {
 		return false
 	}
@@ -247,6 +313,9 @@
 func (p *Pool) grantBySpeed(r *pending, target *state, cause string) Grant {
 	last := r.attempts[len(r.attempts)-1]
 	expected := time.Duration(float64(p.work(r)) * last.slowdown)
+	if len(target.sent) == 1 {
+		target.pace.oldestExpected = expected
+	}
 	grant := Grant{
 		Request: r.ID, Target: target.Name, Attempt: len(r.attempts), Cause: cause, SilentAfter: silentLate * expected,
 		Slowdown: last.slowdown, HeardAgo: target.pace.age(last.sent), Waited: last.sent.Sub(r.arrived), Expected: expected,
@@ -259,14 +328,14 @@
 
 // hedgeBySpeed sends a late request to another target if that would answer soon.
 func (p *Pool) hedgeBySpeed(now time.Time, r *pending) Actions {
-	c := p.choose(now, r)
+	c := choose(p.candidates(now), r)
 	if c.free == nil || r.hasTried(c.free.Name) || c.free.isEjected(now) || p.waste.isSpent() {
 		return Actions{}
 	}
-	if !now.Add(time.Duration(float64(p.work(r))*c.freeCost)).Before(r.Deadline) || !p.extra.SpendAbove(p.reserve()) {
+	if !now.Add(time.Duration(float64(p.work(r))*c.free.cost)).Before(r.Deadline) || !p.extra.SpendAbove(p.reserve()) {
 		return Actions{}
 	}
-	return Actions{Grants: []Grant{p.grant(now, r, c.free, "hedge of a late answer")}}
+	return Actions{Grants: []Grant{p.grant(now, r, c.free.state, "hedge of a late answer")}}
 }
 
 // learnPace compares the end of an attempt with what was expected of its target.
