--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"gitlab.com/curranttiller/curranttiller/internal/route"
@@ -149,9 +150,7 @@
 				return got, failed
 			}
 		case <-hedge.C:
-			if r.service.hedge(r.id) {
-				r.service.metrics.hedges.Inc()
-			}
+			r.service.hedge(r.id)
 		case <-rescue.C:
 			r.rescue()
 		case <-ctx.Done():
@@ -199,6 +198,9 @@
 	r.attempts[grant.Attempt] = &attempt{grant: grant, cancel: cancel}
 	r.running++
 	r.note("AttemptSent", grant.Target, grant.Cause)
+	if strings.HasPrefix(grant.Cause, choose.CauseHedge) {
+		r.service.metrics.hedges.Inc()
+	}
 	if grant.Attempt > 1 {
 		r.service.daemon.requestLog.Info("another attempt is sent", r.grantFields(grant)...)
 	}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -164,6 +164,7 @@
 	for i := range targets {
 		targets[i].Spare = isPartitioned && !held[targets[i].Name]
 	}
+	s.pool.SetSharers(len(holders))
 	s.deliver(s.pool.SetTargets(now, targets))
 }
 
@@ -218,12 +219,10 @@
 	s.deliver(s.pool.Doubt(time.Now(), id))
 }
 
-func (s *service) hedge(id uint64) bool {
+func (s *service) hedge(id uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	actions := s.pool.Hedge(time.Now(), id)
-	s.deliver(actions)
-	return len(actions.Grants) > 0
+	s.deliver(s.pool.Hedge(time.Now(), id))
 }
 
 // release forgets a request. A grant that came too late to be used gives its slot back.
--- /dev/null
+++ b/pkg/choose/forecast.go
@@ -0,0 +1,202 @@
+package choose
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// coldFactor is what a target that has just started is expected to add.
+	coldFactor = 2
+	// errorFactor weighs the share of errors of a target: a failed request costs several good ones.
+	errorFactor = 8
+	// farFactor is the relative cost of a target in another failure domain, whose bytes are paid for.
+	farFactor = 0.3
+	// overdue is how many times the expected latency an attempt may be out before its target counts as slower.
+	overdue = 2.5
+	// usualGain smooths the speed over the reports of a second or so.
+	usualGain = 0.02
+	// fullGain smooths what work takes at full and at other targets, and fullMargin is the part of the loss in throughput from which full targets are avoided.
+	fullGain   = 0.05
+	fullMargin = 0.9
+	// fullSamples is how many answers of full targets must have been seen.
+	fullSamples = 20
+)
+
+// forecast is what is expected of a target: its slowdown changes several times
+// a second, so that a slow one costs long work little more than the time until
+// it changes.
+type forecast struct {
+	// heard is the slowdown last heard, and certainty how much of that still holds.
+	heard, certainty float64
+	// usual is the slowdown that long work meets.
+	usual float64
+	// factor multiplies the latency for what slows the target down without being reported.
+	factor float64
+	// penalty compares targets beyond their latency: errors, doubts and the price of bytes.
+	penalty float64
+}
+
+// latency is the expected time of work that starts now.
+func (f forecast) latency(work time.Duration) time.Duration {
+	known := lasting(work, f.heard, f.usual)
+	unknown := float64(work) * f.usual
+	return time.Duration(f.factor * (f.certainty*known + (1-f.certainty)*unknown))
+}
+
+// lasting is the expected time of work that starts at a slowdown and goes on at
+// the usual one when that changes.
+func lasting(work time.Duration, slowdown, usual float64) float64 {
+	phase := float64(paceFade) * -math.Expm1(-float64(work)*slowdown/float64(paceFade))
+	return phase + (float64(work)-phase/slowdown)*usual
+}
+
+// usualSlowdown is the slowdown that long work meets.
+func (p *Pool) usualSlowdown() float64 {
+	return 1 / p.usualRate
+}
+
+// noteSlowdown takes what a target said into the usual rate of work.
+func (p *Pool) noteSlowdown(slowdown float64) {
+	if slowdown > 0 {
+		p.usualRate += usualGain * (1/slowdown - p.usualRate)
+	}
+}
+
+// forecast returns what is expected of a target for one more request.
+func (p *Pool) forecast(now time.Time, s *state) forecast {
+	f := forecast{heard: 1, usual: p.usualSlowdown(), factor: 1, penalty: 1}
+	if s.pace.slowdown > 0 {
+		f.heard = s.pace.slowdown
+		f.certainty = math.Exp(-float64(now.Sub(s.pace.at)) / float64(paceFade))
+	}
+	if now.Before(s.ColdUntil) {
+		f.factor *= coldFactor
+	}
+	if drag := s.pace.dragged(now); drag > dragNotable {
+		f.factor *= drag
+	}
+	f.factor *= p.crowding(now, s)
+	f.penalty *= 1 + errorFactor*s.pace.errorShare(now)
+	if late := s.overdue(now); late > overdue {
+		f.penalty *= late / overdue
+	}
+	if s.FailureDomain != p.settings.FailureDomain {
+		f.penalty *= 1 + farFactor
+	}
+	return f
+}
+
+// overdue is how many times its expected latency the oldest attempt at the target has been out.
+func (s *state) overdue(now time.Time) float64 {
+	if len(s.sent) == 0 || s.pace.oldestExpected <= 0 {
+		return 0
+	}
+	return float64(now.Sub(s.sent[0])) / float64(s.pace.oldestExpected)
+}
+
+// crowding is what the other requests at the target add to one more.
+func (p *Pool) crowding(now time.Time, s *state) float64 {
+	occupied := s.occupancy(now) + 1
+	slots := max(p.slots(s), 1)
+	if occupied < slots {
+		return 1
+	}
+	return max(p.full, 1) * max(float64(occupied)/float64(slots), 1)
+}
+
+// slots is the number of requests that the target works on at once.
+func (p *Pool) slots(s *state) int {
+	if s.Slots > 0 {
+		return s.Slots
+	}
+	return p.settings.Slots
+}
+
+// usefulSlots is how many requests a target is given at once: all its slots,
+// unless it turns out less work with all of them than with one fewer.
+func (p *Pool) usefulSlots(s *state) int {
+	slots := p.slots(s)
+	if slots > 1 && p.slowsWhenFull(slots) {
+		return slots - 1
+	}
+	return slots
+}
+
+// occupancy is the number of requests at the target, as far as it is known.
+func (s *state) occupancy(now time.Time) int {
+	return s.inFlight + max(s.pace.remoteInFlight(now), s.foreignLoad(now))
+}
+
+// isOpen reports whether the target can start a request at once.
+func (p *Pool) isOpen(now time.Time, s *state) bool {
+	most := p.usefulSlots(s)
+	if s.inFlight > 0 {
+		most = min(most, s.limit)
+	}
+	return s.occupancy(now) < max(most, 1)
+}
+
+// average is an exponentially smoothed work.
+type average struct {
+	work    float64
+	samples int
+}
+
+func (a *average) add(work time.Duration) {
+	a.samples++
+	gain := max(fullGain, 1/float64(a.samples))
+	a.work += gain * (float64(work) - a.work)
+}
+
+func (a *average) isKnown() bool {
+	return a.samples >= fullSamples
+}
+
+// class is what is known of the work of one class of requests.
+type class struct {
+	// full is the work at targets with all slots busy, and part at others.
+	full, part average
+	// all stands in until enough is known of part.
+	all average
+}
+
+func (c *class) add(work time.Duration, crowd crowd) {
+	c.all.add(work)
+	switch crowd {
+	case crowdFull:
+		c.full.add(work)
+	case crowdPart:
+		c.part.add(work)
+	case crowdMixed:
+	}
+}
+
+// work is what a request takes at the usual speed of a target with slots free; zero if nothing is known.
+func (c *class) work() time.Duration {
+	if c.part.isKnown() {
+		return time.Duration(c.part.work)
+	}
+	return time.Duration(c.all.work)
+}
+
+// fullRatio is how many times as long work takes at targets with all slots busy.
+func (p *Pool) fullRatio() float64 {
+	weight, sum := 0.0, 0.0
+	for _, c := range p.classes {
+		if c.full.isKnown() && c.part.isKnown() {
+			w := float64(min(c.full.samples, c.part.samples))
+			weight += w
+			sum += w * c.full.work / c.part.work
+		}
+	}
+	if weight == 0 {
+		return 1
+	}
+	return sum / weight
+}
+
+// slowsWhenFull reports whether the last of a number of slots costs more than it brings.
+func (p *Pool) slowsWhenFull(slots int) bool {
+	return p.full > fullMargin*float64(slots)/float64(slots-1)
+}
--- /dev/null
+++ b/pkg/choose/learn.go
@@ -0,0 +1,92 @@
+package choose
+
+import "time"
+
+// learnPace compares the end of an attempt with what was expected of its target.
+func (p *Pool) learnPace(now time.Time, r *pending, number int, outcome Outcome) {
+	a := &r.attempts[number-1]
+	s := a.target
+	if outcome.Report != nil {
+		p.noteSlowdown(outcome.Report.Slowdown)
+	}
+	switch outcome.Kind {
+	case Answered:
+		s.pace.succeeded(now)
+		p.learnWork(now, r, a, outcome)
+	case Errored, Declined:
+		s.pace.failed(now)
+	case Cancelled:
+		p.learnFromCancelled(now, r, a)
+	case Unused:
+	}
+}
+
+// learnWork separates the work of the class from the speed that the target had
+// while it ran.
+func (p *Pool) learnWork(now time.Time, r *pending, a *attempt, outcome Outcome) {
+	work := a.target.pace.done(now) - a.progress
+	if a.target.pace.slowdown == 0 || work <= 0 {
+		work = outcome.Latency
+	}
+	known, found := p.classes[r.Class]
+	if !found {
+		known = &class{}
+		p.classes[r.Class] = known
+	}
+	crowd := crowdOf(a.wasFull, outcome.Report == nil || outcome.Report.Running >= p.slots(a.target))
+	expected := known.work()
+	if expected > 0 {
+		work = min(work, ratioMost*expected)
+		crowding := 1.0
+		if crowd != crowdPart {
+			crowding = max(p.full, 1)
+		}
+		a.target.pace.lag(now, float64(work)/(float64(expected)*crowding))
+	}
+	known.add(work, crowd)
+	p.full = p.fullRatio()
+}
+
+// crowd says whether all slots of a target were busy while a request ran.
+type crowd int
+
+const (
+	// crowdMixed is for requests that ran partly at a full target, which say little.
+	crowdMixed crowd = iota
+	crowdPart
+	crowdFull
+)
+
+func crowdOf(atStart, atEnd bool) crowd {
+	switch {
+	case atStart && atEnd:
+		return crowdFull
+	case !atStart && !atEnd:
+		return crowdPart
+	default:
+		return crowdMixed
+	}
+}
+
+// ratioMost bounds how much one answer moves what is known of its class.
+const ratioMost = 4
+
+// learnFromCancelled takes it that work which would long have been done at the
+// reported speed is held up by something that the target does not report.
+func (p *Pool) learnFromCancelled(now time.Time, r *pending, a *attempt) {
+	ratio := float64(a.target.pace.done(now)-a.progress) / float64(max(p.work(r), 1))
+	if ratio > overdue {
+		a.target.pace.lag(now, ratio)
+	}
+}
+
+// work is the mean time that a class of requests takes at the usual speed.
+func (p *Pool) work(r *pending) time.Duration {
+	if known, found := p.classes[r.Class]; found {
+		return known.work()
+	}
+	return time.Duration(guessShare * float64(r.objective()))
+}
+
+// guessShare is the part of the objective that work is taken to need while nothing is known of its class.
+const guessShare = 0.35
--- a/pkg/choose/pool.go
+++ b/pkg/choose/pool.go
@@ -36,9 +36,9 @@
 type attempt struct {
 	target *state
 	sent   time.Time
-	// slowdown is the target's expected slowdown when the attempt was sent, and progress its progress.
-	slowdown float64
+	// progress is the target's progress when the attempt was sent, and wasFull says that its last slot was taken.
 	progress time.Duration
+	wasFull  bool
 	// doubted attempts no longer hold a slot.
 	doubted bool
 }
@@ -76,11 +76,13 @@
 	// byName finds the targets.
 	byName map[string]*state
 	// classes holds the work of each class of requests, for the policy Speed.
-	classes map[string]*typical
-	// usual is the smoothed slowdown that targets report.
-	usual float64
-	// granted is the smoothed slowdown at which requests were granted.
-	granted float64
+	classes map[string]*class
+	// usualRate is the smoothed rate of work at the targets, one where they are as fast as usual.
+	usualRate float64
+	// full is how many times as long work takes at targets with all slots busy.
+	full float64
+	// sharers is the number of hosts that use the targets alike.
+	sharers int
 }
 
 // New returns a pool without targets.
@@ -94,9 +96,11 @@
 		rng:      rand.New(rand.NewPCG(seed, uint64(settings.Slots))),
 		loadTime: now,
 		calm:     now,
-		classes:  make(map[string]*typical),
-		usual:    1,
-		granted:  1,
+		classes:  make(map[string]*class),
+
+		usualRate: 1,
+		full:      1,
+		sharers:   1,
 	}
 }
 
@@ -256,7 +260,7 @@
 	target.start(now)
 	p.uses++
 	target.used = p.uses
-	r.attempts = append(r.attempts, attempt{target: target, sent: now, slowdown: p.slowdown(now, target), progress: target.pace.done(now)})
+	r.attempts = append(r.attempts, attempt{target: target, sent: now, progress: target.pace.done(now), wasFull: target.occupancy(now) >= p.slots(target)})
 	if p.settings.Policy == spec.PolicySpeed {
 		return p.grantBySpeed(r, target, cause)
 	}
@@ -284,13 +288,16 @@
 		return Actions{}
 	}
 	if p.settings.Policy == spec.PolicySpeed {
+		if !p.mayHedge(r) {
+			return Actions{}
+		}
 		return p.hedgeBySpeed(now, r)
 	}
 	target, _ := p.pick(now, r)
 	if target == nil || r.hasTried(target.Name) || target.isEjected(now) || p.waste.isSpent() || !p.extra.SpendAbove(p.reserve()) {
 		return Actions{}
 	}
-	return Actions{Grants: []Grant{p.grant(now, r, target, "hedge of a late answer")}}
+	return Actions{Grants: []Grant{p.grant(now, r, target, CauseHedge+" of a late answer")}}
 }
 
 // Retry puts a request back at the head of the queue after a failed attempt,
@@ -426,10 +433,16 @@
 	}
 	actions := p.expireBySpeed(now)
 	granted := p.dispatch(now)
-	actions.Grants = granted.Grants
+	hedged := p.hedgeLaggards(now)
+	actions.Grants = append(granted.Grants, hedged.Grants...)
 	return actions
 }
 
+// SetSharers says how many hosts use the targets alike, this one included.
+func (p *Pool) SetSharers(sharers int) {
+	p.sharers = sharers
+}
+
 func (p *Pool) noteLoad(now time.Time) {
 	if now.Sub(p.loadTime) < loadPeriod {
 		return
@@ -470,6 +483,9 @@
 		return Actions{}
 	}
 	s.pace.probing = false
+	if report != nil {
+		p.noteSlowdown(report.Slowdown)
+	}
 	if report == nil {
 		s.heard = now
 		s.errorsInRow++
--- /dev/null
+++ b/pkg/choose/sight.go
@@ -0,0 +1,55 @@
+package choose
+
+import "time"
+
+// probesBySpeed lists the targets held here of whose speed nothing was heard lately.
+func (p *Pool) probesBySpeed(now time.Time) []string {
+	var names []string
+	for _, s := range p.targets {
+		if s.Spare || s.Leaving || s.pace.probing || now.Sub(s.pace.at) < p.settings.QuietAfter {
+			continue
+		}
+		s.pace.probing = true
+		names = append(names, s.Name)
+	}
+	return names
+}
+
+// Sightings returns what this host has heard of the targets at first hand within
+// a time, and where it has requests.
+func (p *Pool) Sightings(now time.Time, within time.Duration) []Sighting {
+	var seen []Sighting
+	for _, s := range p.targets {
+		sighting := Sighting{Target: s.Name, InFlight: s.inFlight}
+		if age := now.Sub(s.pace.at); s.pace.own && age < within {
+			sighting.Slowdown = s.pace.slowdown
+			sighting.Age = age
+		}
+		if sighting.InFlight > 0 || sighting.Slowdown > 0 {
+			seen = append(seen, sighting)
+		}
+	}
+	return seen
+}
+
+// See takes what another host knows at first hand; targets that it does not name have none of its requests.
+func (p *Pool) See(now time.Time, host string, sightings []Sighting) Actions {
+	told := make(map[string]Sighting, len(sightings))
+	for _, sighting := range sightings {
+		told[sighting.Target] = sighting
+	}
+	for _, s := range p.targets {
+		sighting := told[s.Name]
+		s.pace.setRemote(host, sighting.InFlight, now)
+		s.pace.hear(now.Add(-sighting.Age), sighting.Slowdown, false)
+		p.noteSlowdown(sighting.Slowdown)
+	}
+	return p.dispatch(now)
+}
+
+// ProbeSkipped says that a wanted probe was not sent, because the measuring budget is spent.
+func (p *Pool) ProbeSkipped(target string) {
+	if s := p.find(target); s != nil {
+		s.pace.probing = false
+	}
+}
--- a/pkg/choose/speed.go
+++ b/pkg/choose/speed.go
@@ -1,6 +1,7 @@
 package choose
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -10,43 +11,24 @@
 // they heard and how many requests they have at each target.
 
 const (
-	// usualGain and grantedGain smooth the slowdown over the reports of a second or so.
-	usualGain   = 0.02
-	grantedGain = 0.05
-	// coldSlowdown is what a target that has just started is expected to add.
-	coldSlowdown = 2
-	// errorCost weighs the share of errors of a target: a failed request costs several good ones.
-	errorCost = 8
-	// fullShare is the share of busy slots from which some targets slow down, and fullCost what that may add.
-	fullShare = 0.75
-	fullCost  = 0.5
-	// farCost is the relative cost of a target in another failure domain.
-	farCost = 0.3
-	// alike is how close two costs are for the longest rest to decide.
+	// alike is how close two expected latencies are for the longest rest to decide.
 	alike = 0.05
-	// waitRatio is how much faster a busy target must be for a request to wait for it.
-	waitRatio = 2.5
-	// waitShare is the part of the objective that a request may wait for a faster target.
-	waitShare = 0.25
-	// guessShare is the part of the objective that work is taken to need while nothing is known of its class.
-	guessShare = 0.35
+	// scarceShare is the share of open targets below which requests with time to spare leave the fast ones to others.
+	scarceShare = 0.25
+	// spareTime is how many times its expected latency must fit into the time to its objective for a request to have time to spare.
+	spareTime = 1.25
+	// fastSlowdown is the slowdown up to which a target counts as fast.
+	fastSlowdown = 2
 	// hedgeLate is how many times the expected latency an attempt must take before it is hedged, and hedgeShare the part of the objective.
 	hedgeLate  = 2
 	hedgeShare = 0.4
+	// restLeast is the least part of the work that is taken to be left of an attempt that is still out, and restSpread allows for longer work than the median.
+	restLeast  = 0.2
+	restSpread = 1.1
 	// silentLate is how many times the expected latency an answer may take before its connection is doubted.
 	silentLate = 6
-	// overdue is how many times the expected latency an attempt may be out before its target counts as slower.
-	overdue = 2.5
 )
 
-// work is the median time that a class of requests takes at the usual speed.
-func (p *Pool) work(r *pending) time.Duration {
-	if known, found := p.classes[r.Class]; found && known.median > 0 {
-		return known.median
-	}
-	return time.Duration(guessShare * float64(r.objective()))
-}
-
 func (r *pending) objective() time.Duration {
 	if r.Objective > 0 {
 		return r.Objective
@@ -54,147 +36,128 @@
 	return r.Deadline.Sub(r.arrived)
 }
 
-// slots is the number of requests that the target works on at once.
-func (p *Pool) slots(s *state) int {
-	if s.Slots > 0 {
-		return s.Slots
-	}
-	return p.settings.Slots
-}
-
-// occupancy is the number of requests at the target, as far as it is known.
-func (s *state) occupancy(now time.Time) int {
-	return s.inFlight + max(s.pace.remoteInFlight(now), s.foreignLoad(now))
-}
-
-// slowdown is how many times its usual time work is expected to take at a target.
-func (p *Pool) slowdown(now time.Time, s *state) float64 {
-	expected := s.pace.expected(now, p.usual)
-	if now.Before(s.ColdUntil) {
-		expected *= coldSlowdown
-	}
-	if drag := s.pace.dragged(now); drag > dragNotable {
-		expected *= drag
-	}
-	return expected
-}
-
-// cost compares targets: the slowdown with everything that speaks against a target.
-func (p *Pool) cost(now time.Time, s *state) float64 {
-	cost := p.slowdown(now, s)
-	if late := s.overdue(now); late > overdue {
-		cost *= late / overdue
-	}
-	busy := float64(s.occupancy(now)+1) / float64(max(p.slots(s), 1))
-	if busy > fullShare {
-		cost *= 1 + fullCost*min(busy-fullShare, 1-fullShare)/(1-fullShare)
-	}
-	if busy > 1 {
-		cost *= busy
-	}
-	if s.FailureDomain != p.settings.FailureDomain {
-		cost *= 1 + farCost
-	}
-	return cost * (1 + errorCost*s.pace.errorShare(now))
-}
-
-// overdue is how many times its expected latency the oldest attempt at the target has been out.
-func (s *state) overdue(now time.Time) float64 {
-	if len(s.sent) == 0 || s.pace.oldestExpected <= 0 {
-		return 0
-	}
-	return float64(now.Sub(s.sent[0])) / float64(s.pace.oldestExpected)
-}
-
-// freeBySpeed reports whether the target can start a request at once.
-func (p *Pool) freeBySpeed(now time.Time, s *state) bool {
-	most := p.slots(s)
-	if s.inFlight > 0 {
-		most = min(most, s.limit)
-	}
-	return s.occupancy(now) < max(most, 1)
+// due is when the answer is worth less.
+func (r *pending) due() time.Time {
+	return r.arrived.Add(r.objective())
 }
 
 // candidate is a target in a comparison that may serve several requests.
 type candidate struct {
 	*state
 
-	cost float64
-	open bool
+	forecast forecast
+	open     bool
 }
 
-// candidates lists the targets that may take work, with their costs.
-func (p *Pool) candidates(now time.Time) []candidate {
-	list := p.compared[:0]
+// comparison holds the targets that may take work.
+type comparison struct {
+	list []candidate
+	// isScarce says that few of them are open.
+	isScarce bool
+}
+
+// compare lists the targets that may take work, with what is expected of them.
+func (p *Pool) compare(now time.Time) comparison {
+	c := comparison{list: p.compared[:0]}
 	for _, s := range p.targets {
 		if s.wantsWork(now) {
-			list = append(list, candidate{state: s, cost: p.cost(now, s), open: p.freeBySpeed(now, s)})
+			c.list = append(c.list, p.candidate(now, s))
 		}
 	}
-	if len(list) == 0 {
+	if len(c.list) == 0 {
 		for _, s := range p.targets {
 			if !s.Leaving && !s.draining {
-				list = append(list, candidate{state: s, cost: p.cost(now, s), open: p.freeBySpeed(now, s)})
+				c.list = append(c.list, p.candidate(now, s))
 			}
 		}
 	}
-	p.compared = list
-	return list
+	p.compared = c.list
+	c.isScarce = float64(c.open()) < scarceShare*float64(len(c.list))
+	return c
+}
+
+func (p *Pool) candidate(now time.Time, s *state) candidate {
+	return candidate{state: s, forecast: p.forecast(now, s), open: p.isOpen(now, s)}
+}
+
+func (c *comparison) open() int {
+	open := 0
+	for i := range c.list {
+		if c.list[i].open {
+			open++
+		}
+	}
+	return open
 }
 
-// choice is the outcome of a comparison of the targets.
+// choice is the outcome of a comparison for one request.
 type choice struct {
 	free *candidate
-	// bestCost is the lowest cost of any target, busy ones included.
-	bestCost float64
+	// latency is expected of the free target, and best the lowest of any target, busy ones included.
+	latency, best time.Duration
+	// cost is the latency with the penalty of the free target.
+	cost float64
 	// usable and open count the targets that may take the request, and those that can start it at once.
 	usable, open int
 }
 
-// choose compares the candidates for a request. Targets already tried are left
-// out while others remain.
-func choose(list []candidate, r *pending) choice {
-	c := chooseFrom(list, func(s *candidate) bool { return s.allows(r) && !r.hasTried(s.Name) })
-	if c.usable > 0 {
-		return c
+// choose returns the target for a request. Targets already tried are left out
+// while others remain.
+func (c *comparison) choose(now time.Time, r *pending, work time.Duration) choice {
+	chosen := c.chooseAmong(now, r, work, func(s *candidate) bool { return s.allows(r) && !r.hasTried(s.Name) })
+	if chosen.usable > 0 {
+		return chosen
 	}
-	return chooseFrom(list, func(s *candidate) bool { return s.allows(r) })
+	return c.chooseAmong(now, r, work, func(s *candidate) bool { return s.allows(r) })
 }
 
-func chooseFrom(list []candidate, allows func(s *candidate) bool) choice {
-	var c choice
-	for i := range list {
-		s := &list[i]
+func (c *comparison) chooseAmong(now time.Time, r *pending, work time.Duration, allows func(s *candidate) bool) choice {
+	var chosen choice
+	left := r.due().Sub(now)
+	for i := range c.list {
+		s := &c.list[i]
 		if !allows(s) {
 			continue
 		}
-		c.usable++
-		if c.bestCost == 0 || s.cost < c.bestCost {
-			c.bestCost = s.cost
+		latency := s.forecast.latency(work)
+		chosen.usable++
+		if chosen.best == 0 || latency < chosen.best {
+			chosen.best = latency
 		}
 		if !s.open {
 			continue
 		}
-		c.open++
-		if c.free == nil || s.isCheaper(c.free) {
-			c.free = s
+		chosen.open++
+		cost := float64(latency) * s.forecast.penalty
+		if chosen.free == nil || c.isBetter(s, latency, cost, &chosen, left) {
+			chosen.free = s
+			chosen.latency = latency
+			chosen.cost = cost
 		}
 	}
-	return c
+	return chosen
 }
 
-// isCheaper lets the longest rest decide between targets that cost nearly the same.
-func (c *candidate) isCheaper(than *candidate) bool {
-	if c.cost < than.cost*(1-alike) || c.cost > than.cost*(1+alike) {
-		return c.cost < than.cost
+// isBetter prefers the target that answers first. While few are open, a request
+// with time to spare takes the slowest one that is fast enough for it.
+func (c *comparison) isBetter(s *candidate, latency time.Duration, cost float64, than *choice, left time.Duration) bool {
+	if c.isScarce {
+		fits := float64(latency)*spareTime <= float64(left)
+		thanFits := float64(than.latency)*spareTime <= float64(left)
+		if fits && thanFits {
+			return latency > than.latency
+		}
+	}
+	if cost < than.cost*(1-alike) || cost > than.cost*(1+alike) {
+		return cost < than.cost
 	}
-	return c.used < than.used
+	return s.used < than.free.used
 }
 
-// arriveBySpeed refuses at once what could be answered only too late, while
-// others wait that can still be answered in time.
+// arriveBySpeed refuses at once what could be answered only too late, because
+// others wait already.
 func (p *Pool) arriveBySpeed(now time.Time, r *pending) Actions {
-	if wait := p.waitBefore(r); wait > 0 && p.isLateByWaiting(now, wait, r) {
+	if wait := p.waitBefore(now, r); wait > 0 && p.isLateByWaiting(now, wait, r) {
 		return Actions{Refusals: []Refusal{{Request: r.ID, Reason: ReasonQueueFull, RetryAfter: wait}}}
 	}
 	if p.isHopeless(now, r) {
@@ -205,21 +168,30 @@
 	return p.dispatch(now)
 }
 
-// waitBefore is the time until the waiting requests that go before r have slots.
-func (p *Pool) waitBefore(r *pending) time.Duration {
+// waitBefore is the time until the waiting requests that go before r have slots
+// of fast targets, which this host shares with others.
+func (p *Pool) waitBefore(now time.Time, r *pending) time.Duration {
+	if p.waiting.len() == 0 {
+		return 0
+	}
 	ahead := time.Duration(0)
 	for other := range p.waiting.all {
-		if other.Priority <= r.Priority {
-			ahead += p.work(other)
+		if other.Priority <= r.Priority && p.isInTime(now, other) {
+			ahead += p.quick(other)
 		}
 	}
 	slots := 0
 	for _, s := range p.targets {
-		if !s.Leaving && !s.draining {
-			slots += p.slots(s)
+		if !s.Leaving && !s.draining && s.pace.expected(now, p.usualSlowdown()) <= fastSlowdown {
+			slots += p.usefulSlots(s)
 		}
 	}
-	return time.Duration(float64(ahead) * p.granted / float64(max(slots, 1)))
+	return time.Duration(float64(ahead) * float64(max(p.sharers, 1)) / float64(max(slots, 1)))
+}
+
+// quick is the latency to expect of a fast target.
+func (p *Pool) quick(r *pending) time.Duration {
+	return time.Duration(lasting(p.work(r), 1, p.usualSlowdown()))
 }
 
 // isLateByWaiting reports whether a request that could be answered in time if it
@@ -231,9 +203,14 @@
 	return now.Add(wait + p.work(r)).After(r.Deadline)
 }
 
-// isInTime reports whether a request that starts at a time is expected to meet its objective.
+// isInTime reports whether a request that starts at a time can meet its objective.
 func (p *Pool) isInTime(start time.Time, r *pending) bool {
-	return !start.Add(time.Duration(float64(p.work(r)) * p.granted)).After(r.arrived.Add(r.objective()))
+	return !start.Add(p.quick(r)).After(r.due())
+}
+
+// isHopeless reports whether even the fastest target would answer after the deadline.
+func (p *Pool) isHopeless(now time.Time, r *pending) bool {
+	return !now.Add(p.work(r) / 2).Before(r.Deadline)
 }
 
 // dispatchBySpeed grants the requests that can still meet their objective, and
@@ -241,40 +218,66 @@
 func (p *Pool) dispatchBySpeed(now time.Time) Actions {
 	var actions Actions
 	if p.waiting.len() > 0 {
-		list := p.candidates(now)
-		p.dispatchSome(now, list, true, &actions)
-		p.dispatchSome(now, list, false, &actions)
+		c := p.compare(now)
+		p.dispatchSome(now, &c, true, &actions)
+		p.dispatchSome(now, &c, false, &actions)
 	}
 	p.noteLoad(now)
 	return actions
 }
 
 // dispatchSome grants the waiting requests that can, or cannot, meet their objective any more.
-func (p *Pool) dispatchSome(now time.Time, list []candidate, inTime bool, actions *Actions) {
-	if !slices.ContainsFunc(list, func(c candidate) bool { return c.open }) {
+func (p *Pool) dispatchSome(now time.Time, c *comparison, inTime bool, actions *Actions) {
+	if c.open() == 0 {
 		return
 	}
 	for r := range p.waiting.all {
 		if p.isInTime(now, r) != inTime {
 			continue
 		}
-		c := choose(list, r)
-		if c.free == nil {
+		chosen := c.choose(now, r, p.work(r))
+		if chosen.free == nil {
 			return
 		}
-		if p.waitsForFaster(now, r, c) {
+		if r.waitsForFaster(now, chosen) {
 			continue
 		}
 		p.waiting.remove(r.ID)
-		cost := c.free.cost
-		grant := p.grant(now, r, c.free.state, "expected to answer first")
-		grant.Usable = c.usable
-		grant.Open = c.open
-		grant.Best = c.bestCost
-		actions.Grants = append(actions.Grants, grant)
-		p.granted += grantedGain * (cost - p.granted)
-		c.free.cost = p.cost(now, c.free.state)
-		c.free.open = p.freeBySpeed(now, c.free.state)
+		actions.Grants = append(actions.Grants, p.grantChosen(now, r, chosen, "expected to answer first"))
+	}
+}
+
+// waitsForFaster reports whether a request does better to wait for a busy target
+// than to start at the free one, which would answer too late.
+func (r *pending) waitsForFaster(now time.Time, chosen choice) bool {
+	left := r.due().Sub(now)
+	return chosen.latency > left && chosen.best <= left
+}
+
+// grantChosen grants a request and accounts for it in the comparison.
+func (p *Pool) grantChosen(now time.Time, r *pending, chosen choice, cause string) Grant {
+	grant := p.grant(now, r, chosen.free.state, cause)
+	grant.Usable = chosen.usable
+	grant.Open = chosen.open
+	grant.Best = chosen.best
+	grant.Expected = chosen.latency
+	if len(chosen.free.sent) == 1 {
+		chosen.free.pace.oldestExpected = chosen.latency
+	}
+	grant.SilentAfter = silentLate * chosen.latency
+	if r.Idempotent && !r.Single && !r.isSpent() && p.settings.HedgeQuantile < 1 {
+		grant.HedgeAfter = max(hedgeLate*chosen.latency, time.Duration(hedgeShare*float64(r.objective())))
+	}
+	*chosen.free = p.candidate(now, chosen.free.state)
+	return grant
+}
+
+// grantBySpeed states what the choice of the target rests on.
+func (p *Pool) grantBySpeed(r *pending, target *state, cause string) Grant {
+	sent := r.attempts[len(r.attempts)-1].sent
+	return Grant{
+		Request: r.ID, Target: target.Name, Attempt: len(r.attempts), Cause: cause,
+		Slowdown: target.pace.slowdown, HeardAgo: target.pace.age(sent), Waited: sent.Sub(r.arrived),
 	}
 }
 
@@ -290,144 +293,71 @@
 	return actions
 }
 
-// isHopeless reports whether even the fastest target would answer after the deadline.
-func (p *Pool) isHopeless(now time.Time, r *pending) bool {
-	return !now.Add(p.work(r) / 2).Before(r.Deadline)
+// mayHedge reports whether the service has room for second attempts.
+func (p *Pool) mayHedge(r *pending) bool {
+	return r.Idempotent && !r.Single && !r.isSpent() && len(r.attempts) > 0 && p.load <= p.settings.BusyShare && p.waiting.len() == 0
 }
 
-// waitsForFaster reports whether a request does better to wait for a busy target
-// than to start at the free one, which is slow at the moment.
-func (p *Pool) waitsForFaster(now time.Time, r *pending, c choice) bool {
-	if c.free.cost < waitRatio*c.bestCost {
-		return false
-	}
-	objective := r.objective()
-	expected := time.Duration(float64(p.work(r)) * c.free.cost)
-	if !now.Add(expected).After(r.arrived.Add(objective)) {
-		return false
-	}
-	return now.Sub(r.arrived) < time.Duration(waitShare*float64(objective))
-}
-
-// grantBySpeed states when a request whose answer is late is to be hedged.
-func (p *Pool) grantBySpeed(r *pending, target *state, cause string) Grant {
-	last := r.attempts[len(r.attempts)-1]
-	expected := time.Duration(float64(p.work(r)) * last.slowdown)
-	if len(target.sent) == 1 {
-		target.pace.oldestExpected = expected
-	}
-	grant := Grant{
-		Request: r.ID, Target: target.Name, Attempt: len(r.attempts), Cause: cause, SilentAfter: silentLate * expected,
-		Slowdown: last.slowdown, HeardAgo: target.pace.age(last.sent), Waited: last.sent.Sub(r.arrived), Expected: expected,
-	}
-	if r.Idempotent && !r.Single && !r.isSpent() && p.settings.HedgeQuantile < 1 {
-		grant.HedgeAfter = max(hedgeLate*expected, time.Duration(hedgeShare*float64(r.objective())))
-	}
-	return grant
-}
-
-// hedgeBySpeed sends a late request to another target if that would answer soon.
+// hedgeBySpeed sends a late request to another target if that would answer before the deadline.
 func (p *Pool) hedgeBySpeed(now time.Time, r *pending) Actions {
-	c := choose(p.candidates(now), r)
-	if c.free == nil || r.hasTried(c.free.Name) || c.free.isEjected(now) || p.waste.isSpent() {
-		return Actions{}
-	}
-	if !now.Add(time.Duration(float64(p.work(r))*c.free.cost)).Before(r.Deadline) || !p.extra.SpendAbove(p.reserve()) {
+	c := p.compare(now)
+	chosen := c.choose(now, r, p.work(r))
+	if !p.canHedge(now, r, chosen, r.Deadline) {
 		return Actions{}
 	}
-	return Actions{Grants: []Grant{p.grant(now, r, c.free.state, "hedge of a late answer")}}
+	return Actions{Grants: []Grant{p.grantChosen(now, r, chosen, CauseHedge+" of a late answer")}}
 }
 
-// learnPace compares the end of an attempt with what was expected of its target.
-func (p *Pool) learnPace(now time.Time, r *pending, number int, outcome Outcome) {
-	a := &r.attempts[number-1]
-	s := a.target
-	if outcome.Report != nil && outcome.Report.Slowdown > 0 {
-		p.usual += usualGain * (outcome.Report.Slowdown - p.usual)
-	}
-	switch outcome.Kind {
-	case Answered:
-		s.pace.succeeded(now)
-		p.learnWork(now, r, a, outcome)
-	case Errored, Declined:
-		s.pace.failed(now)
-	case Cancelled:
-		expected := float64(p.work(r)) * max(a.slowdown, 0.1)
-		if ratio := float64(outcome.Latency) / expected; ratio > overdue {
-			s.pace.lag(now, ratio)
-		}
-	case Unused:
+// canHedge reports whether another attempt would answer until a time, and spends it.
+func (p *Pool) canHedge(now time.Time, r *pending, chosen choice, until time.Time) bool {
+	if chosen.free == nil || r.hasTried(chosen.free.Name) || chosen.free.isEjected(now) {
+		return false
 	}
+	return now.Add(chosen.latency).Before(until) && p.extra.SpendAbove(p.reserve())
 }
 
-// learnWork separates the work of the class from the speed that the target had
-// while it ran.
-func (p *Pool) learnWork(now time.Time, r *pending, a *attempt, outcome Outcome) {
-	work := a.target.pace.done(now) - a.progress
-	if a.target.pace.slowdown == 0 || work <= 0 {
-		work = outcome.Latency
-	}
-	class, found := p.classes[r.Class]
-	if !found {
-		class = newTypical(1, now)
-		p.classes[r.Class] = class
-	}
-	if class.median > 0 {
-		a.target.pace.lag(now, float64(work)/float64(class.median))
+// hedgeLaggards sends requests to another target whose own has turned slow, if
+// they would miss their objective where they are and meet it there.
+func (p *Pool) hedgeLaggards(now time.Time) Actions {
+	var actions Actions
+	if p.load > p.settings.BusyShare || p.waiting.len() > 0 || p.settings.HedgeQuantile >= 1 {
+		return actions
 	}
-	class.add(now, work)
-}
-
-// probesBySpeed lists the targets held here of whose speed nothing was heard lately.
-func (p *Pool) probesBySpeed(now time.Time) []string {
-	var names []string
-	for _, s := range p.targets {
-		if s.Spare || s.Leaving || s.pace.probing || now.Sub(s.pace.at) < p.settings.QuietAfter {
-			continue
-		}
-		s.pace.probing = true
-		names = append(names, s.Name)
+	laggards := p.laggards(now)
+	if len(laggards) == 0 {
+		return actions
 	}
-	return names
-}
-
-// Sightings returns what this host has heard of the targets at first hand within
-// a time, and where it has requests.
-func (p *Pool) Sightings(now time.Time, within time.Duration) []Sighting {
-	var seen []Sighting
-	for _, s := range p.targets {
-		sighting := Sighting{Target: s.Name, InFlight: s.inFlight}
-		if age := now.Sub(s.pace.at); s.pace.own && age < within {
-			sighting.Slowdown = s.pace.slowdown
-			sighting.Age = age
-		}
-		if sighting.InFlight > 0 || sighting.Slowdown > 0 {
-			seen = append(seen, sighting)
+	c := p.compare(now)
+	for _, r := range laggards {
+		if chosen := c.choose(now, r, p.work(r)); p.canHedge(now, r, chosen, r.due()) {
+			actions.Grants = append(actions.Grants, p.grantChosen(now, r, chosen, CauseHedge+": the target has turned slow"))
 		}
 	}
-	return seen
+	return actions
 }
 
-// See takes what another host knows at first hand; targets that it does not name have none of its requests.
-func (p *Pool) See(now time.Time, host string, sightings []Sighting) Actions {
-	told := make(map[string]Sighting, len(sightings))
-	for _, sighting := range sightings {
-		told[sighting.Target] = sighting
-	}
-	for _, s := range p.targets {
-		sighting := told[s.Name]
-		s.pace.setRemote(host, sighting.InFlight, now)
-		s.pace.hear(now.Add(-sighting.Age), sighting.Slowdown, false)
-		if sighting.Slowdown > 0 {
-			p.usual += usualGain * (sighting.Slowdown - p.usual)
+// laggards lists the requests that miss their objective where they are, oldest first.
+func (p *Pool) laggards(now time.Time) []*pending {
+	var found []*pending
+	for _, r := range p.requests {
+		if len(r.attempts) == 1 && p.mayHedge(r) && p.lags(now, r) {
+			found = append(found, r)
 		}
 	}
-	return p.dispatch(now)
+	slices.SortFunc(found, func(a, b *pending) int { return cmp.Compare(a.ID, b.ID) })
+	return found
 }
 
-// ProbeSkipped says that a wanted probe was not sent, because the measuring budget is spent.
-func (p *Pool) ProbeSkipped(target string) {
-	if s := p.find(target); s != nil {
-		s.pace.probing = false
+// lags reports whether the only attempt of a request is expected to end after the objective.
+func (p *Pool) lags(now time.Time, r *pending) bool {
+	a := &r.attempts[0]
+	if !a.target.isOut(a.sent) || !now.Before(r.due()) || a.target.pace.slowdown == 0 {
+		return false
 	}
+	work := p.work(r)
+	done := a.target.pace.done(now) - a.progress
+	rest := max(time.Duration(restSpread*float64(work))-done, time.Duration(restLeast*float64(work)))
+	f := p.forecast(now, a.target)
+	f.factor = 1 // a running request takes a slot already, and its progress shows what else there is
+	return now.Add(f.latency(rest)).After(r.due())
 }
--- a/pkg/choose/speed_test.go
+++ b/pkg/choose/speed_test.go
@@ -133,3 +133,70 @@
 	is.Equal(len(pool.Probes(morning.Add(50*time.Millisecond))), 0)
 	is.Equal(pool.Probes(morning.Add(150*time.Millisecond)), []string{"held"})
 }
+
+// TestSpeedDoesNotWaitWhereAllTargetsFailAlike replays a service whose targets
+// all decline half of what they get, with slots free.
+func TestSpeedDoesNotWaitWhereAllTargetsFailAlike(t *testing.T) {
+	is := is.New(t)
+	pool := speedPool(map[string]float64{"a": 1, "b": 1, "c": 1})
+	now := morning
+	for id := range uint64(60) {
+		now = now.Add(5 * time.Millisecond)
+		grants := arrive(pool, now, id, nil).Grants
+		is.Equal(len(grants), 1) // granted on arrival
+		outcome := choose.Outcome{Kind: choose.Declined, Report: &choose.Report{Slowdown: 1}}
+		if id%2 == 0 {
+			outcome = choose.Outcome{Kind: choose.Answered, Latency: 4 * time.Millisecond, Report: &choose.Report{Slowdown: 1}}
+		}
+		pool.Finish(now.Add(4*time.Millisecond), id, 1, outcome)
+		pool.Release(now.Add(4*time.Millisecond), id)
+	}
+}
+
+// TestSpeedLeavesASlotFreeWhereFullTargetsSlowDown replays targets of three
+// slots that take 1.7 times as long with all of them busy.
+func TestSpeedLeavesASlotFreeWhereFullTargetsSlowDown(t *testing.T) {
+	tests := []struct {
+		name     string
+		full     time.Duration
+		wantOpen int
+	}{
+		{name: "full targets are as fast", full: 100 * time.Millisecond, wantOpen: 3},
+		{name: "full targets slow down", full: 170 * time.Millisecond, wantOpen: 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			pool := choose.New(speedSettings, 1, morning)
+			pool.SetTargets(morning, []choose.Target{{Name: "only", FailureDomain: "a", Slots: 3}})
+			now := morning
+			id := uint64(0)
+			// Rounds of one request alone and of three at once.
+			for range 60 {
+				for _, together := range []int{1, 3} {
+					took := 100 * time.Millisecond
+					if together == 3 {
+						took = test.full
+					}
+					first := id
+					for range together {
+						arrive(pool, now, id, nil)
+						id++
+					}
+					for granted := first; granted < id; granted++ {
+						report := &choose.Report{Slowdown: 1, Running: together}
+						pool.Finish(now.Add(took), granted, 1, choose.Outcome{Kind: choose.Answered, Latency: took, Report: report})
+						pool.Release(now.Add(took), granted)
+					}
+					now = now.Add(500 * time.Millisecond)
+				}
+			}
+			granted := 0
+			for range 3 {
+				granted += len(arrive(pool, now, id, nil).Grants)
+				id++
+			}
+			is.Equal(granted, test.wantOpen)
+		})
+	}
+}
--- a/pkg/choose/types.go
+++ b/pkg/choose/types.go
@@ -84,9 +84,9 @@
 	Waited   time.Duration
 	Expected time.Duration
 	// Usable counts the targets that could have been chosen, Open those of them
-	// with a free slot, and Best is the lowest cost of any of them.
+	// with a free slot, and Best is the lowest latency expected of any of them.
 	Usable, Open int
-	Best         float64
+	Best         time.Duration
 }
 
 // Refusal tells the caller of the pool that a request is not run.
@@ -148,6 +148,9 @@
 	Report *Report
 }
 
+// CauseHedge begins the cause of a grant that hedges a late answer.
+const CauseHedge = "hedge"
+
 // Refusal reasons, also used as metric labels and header values.
 const (
 	ReasonQueueFull = "QueueFull"
