--- a/pkg/choose/pace.go
+++ b/pkg/choose/pace.go
@@ -7,7 +7,7 @@
 
 const (
 	// paceFade is how fast a reported slowdown tends back to the usual one; neighbours on shared machines change several times a second.
-	paceFade = 400 * time.Millisecond
+	paceFade = 250 * time.Millisecond
 	// errorFade is how fast a target's share of errors is forgotten.
 	errorFade = 3 * time.Second
 	// errorGain and errorRelief are how much one error or answer moves the share of errors.
--- a/pkg/choose/speed.go
+++ b/pkg/choose/speed.go
@@ -25,6 +25,8 @@
 	// restLeast is the least part of the work that is taken to be left of an attempt that is still out, and restSpread allows for longer work than the median.
 	restLeast  = 0.2
 	restSpread = 1.1
+	// laggardReserve is how many times the reserve of other hedges those leave whose target has only turned slow.
+	laggardReserve = 1.5
 	// silentLate is how many times the expected latency an answer may take before its connection is doubted.
 	silentLate = 6
 )
@@ -72,7 +74,6 @@
 		}
 	}
 	p.compared = c.list
-	c.isScarce = float64(c.open()) < scarceShare*float64(len(c.list))
 	return c
 }
 
@@ -141,13 +142,6 @@
 // isBetter prefers the target that answers first. While few are open, a request
 // with time to spare takes the slowest one that is fast enough for it.
 func (c *comparison) isBetter(s *candidate, latency time.Duration, cost float64, than *choice, left time.Duration) bool {
-	if c.isScarce {
-		fits := float64(latency)*spareTime <= float64(left)
-		thanFits := float64(than.latency)*spareTime <= float64(left)
-		if fits && thanFits {
-			return latency > than.latency
-		}
-	}
 	if cost < than.cost*(1-alike) || cost > than.cost*(1+alike) {
 		return cost < than.cost
 	}
@@ -302,18 +296,18 @@
 func (p *Pool) hedgeBySpeed(now time.Time, r *pending) Actions {
 	c := p.compare(now)
 	chosen := c.choose(now, r, p.work(r))
-	if !p.canHedge(now, r, chosen, r.Deadline) {
+	if !p.canHedge(now, r, chosen, r.Deadline, p.reserve()) {
 		return Actions{}
 	}
 	return Actions{Grants: []Grant{p.grantChosen(now, r, chosen, CauseHedge+" of a late answer")}}
 }
 
 // canHedge reports whether another attempt would answer until a time, and spends it.
-func (p *Pool) canHedge(now time.Time, r *pending, chosen choice, until time.Time) bool {
+func (p *Pool) canHedge(now time.Time, r *pending, chosen choice, until time.Time, reserve float64) bool {
 	if chosen.free == nil || r.hasTried(chosen.free.Name) || chosen.free.isEjected(now) {
 		return false
 	}
-	return now.Add(chosen.latency).Before(until) && p.extra.SpendAbove(p.reserve())
+	return now.Add(chosen.latency).Before(until) && p.extra.SpendAbove(reserve)
 }
 
 // hedgeLaggards sends requests to another target whose own has turned slow, if
@@ -329,7 +323,7 @@
 	}
 	c := p.compare(now)
 	for _, r := range laggards {
-		if chosen := c.choose(now, r, p.work(r)); p.canHedge(now, r, chosen, r.due()) {
+		if chosen := c.choose(now, r, p.work(r)); p.canHedge(now, r, chosen, r.due(), laggardReserve*p.reserve()) {
 			actions.Grants = append(actions.Grants, p.grantChosen(now, r, chosen, CauseHedge+": the target has turned slow"))
 		}
 	}
