--- a/pkg/choose/forecast.go
+++ b/pkg/choose/forecast.go
@@ -1,7 +1,6 @@
 package choose
 
 import (
-	"math"
 	"time"
 )
 
@@ -23,60 +22,37 @@
 	fullSamples = 20
 )
 
-// forecast is what is expected of a target: its slowdown changes several times
-// a second, so that a slow one costs long work little more than the time until
-// it changes.
+// forecast is what is expected of a target. A request is worked on at the speed
+// that the target has when it starts.
 type forecast struct {
-	// heard is the slowdown last heard, and certainty how much of that still holds.
-	heard, certainty float64
-	// usual is the slowdown that long work meets.
-	usual float64
-	// factor multiplies the latency for what slows the target down without being reported.
-	factor float64
+	// slowdown is how many times the usual time work takes.
+	slowdown float64
 	// penalty compares targets beyond their latency: errors, doubts and the price of bytes.
 	penalty float64
 }
 
 // latency is the expected time of work that starts now.
 func (f forecast) latency(work time.Duration) time.Duration {
-	known := lasting(work, f.heard, f.usual)
-	unknown := float64(work) * f.usual
-	return time.Duration(f.factor * (f.certainty*known + (1-f.certainty)*unknown))
+	return time.Duration(f.slowdown * float64(work))
 }
 
-// lasting is the expected time of work that starts at a slowdown and goes on at
-// the usual one when that changes.
-func lasting(work time.Duration, slowdown, usual float64) float64 {
-	phase := float64(paceFade) * -math.Expm1(-float64(work)*slowdown/float64(paceFade))
-	return phase + (float64(work)-phase/slowdown)*usual
-}
-
-// usualSlowdown is the slowdown that long work meets.
-func (p *Pool) usualSlowdown() float64 {
-	return 1 / p.usualRate
-}
-
-// noteSlowdown takes what a target said into the usual rate of work.
+// noteSlowdown takes what a target said into what is usual.
 func (p *Pool) noteSlowdown(slowdown float64) {
 	if slowdown > 0 {
-		p.usualRate += usualGain * (1/slowdown - p.usualRate)
+		p.usual += usualGain * (slowdown - p.usual)
 	}
 }
 
 // forecast returns what is expected of a target for one more request.
 func (p *Pool) forecast(now time.Time, s *state) forecast {
-	f := forecast{heard: 1, usual: p.usualSlowdown(), factor: 1, penalty: 1}
-	if s.pace.slowdown > 0 {
-		f.heard = s.pace.slowdown
-		f.certainty = math.Exp(-float64(now.Sub(s.pace.at)) / float64(paceFade))
-	}
+	f := forecast{slowdown: s.pace.expected(now, p.usual), penalty: 1}
 	if now.Before(s.ColdUntil) {
-		f.factor *= coldFactor
+		f.slowdown *= coldFactor
 	}
 	if drag := s.pace.dragged(now); drag > dragNotable {
-		f.factor *= drag
+		f.slowdown *= drag
 	}
-	f.factor *= p.crowding(now, s)
+	f.slowdown *= p.crowding(now, s)
 	f.penalty *= 1 + errorFactor*s.pace.errorShare(now)
 	if late := s.overdue(now); late > overdue {
 		f.penalty *= late / overdue
--- a/pkg/choose/learn.go
+++ b/pkg/choose/learn.go
@@ -21,13 +21,12 @@
 	}
 }
 
-// learnWork separates the work of the class from the speed that the target had
-// while it ran.
+// learnWork separates the work of the class from the speed of the target.
 func (p *Pool) learnWork(now time.Time, r *pending, a *attempt, outcome Outcome) {
-	work := a.target.pace.done(now) - a.progress
-	if a.target.pace.slowdown == 0 || work <= 0 {
-		work = outcome.Latency
+	if a.slowdown == 0 {
+		return
 	}
+	work := time.Duration(float64(outcome.Latency) / a.slowdown)
 	known, found := p.classes[r.Class]
 	if !found {
 		known = &class{}
@@ -36,12 +35,12 @@
 	crowd := crowdOf(a.wasFull, outcome.Report == nil || outcome.Report.Running >= p.slots(a.target))
 	expected := known.work()
 	if expected > 0 {
-		work = min(work, ratioMost*expected)
 		crowding := 1.0
 		if crowd != crowdPart {
 			crowding = max(p.full, 1)
 		}
 		a.target.pace.lag(now, float64(work)/(float64(expected)*crowding))
+		work = min(work, ratioMost*expected)
 	}
 	known.add(work, crowd)
 	p.full = p.fullRatio()
@@ -74,7 +73,10 @@
 // learnFromCancelled takes it that work which would long have been done at the
 // reported speed is held up by something that the target does not report.
 func (p *Pool) learnFromCancelled(now time.Time, r *pending, a *attempt) {
-	ratio := float64(a.target.pace.done(now)-a.progress) / float64(max(p.work(r), 1))
+	if a.slowdown == 0 {
+		return
+	}
+	ratio := float64(now.Sub(a.sent)) / (a.slowdown * float64(max(p.work(r), 1)))
 	if ratio > overdue {
 		a.target.pace.lag(now, ratio)
 	}
--- a/pkg/choose/pace.go
+++ b/pkg/choose/pace.go
@@ -33,11 +33,9 @@
 	errors  float64
 	errorAt time.Time
 	// drag is the smoothed ratio of latencies to what the reports let expect.
-	drag   float64
-	dragAt time.Time
-	// progress is the work at the usual speed that a request running all the time would have got done, up to at.
-	progress time.Duration
-	probing  bool
+	drag    float64
+	dragAt  time.Time
+	probing bool
 	// oldestExpected is the expected latency of the oldest attempt at the target, roughly.
 	oldestExpected time.Duration
 	remote         map[string]remoteLoad
@@ -53,15 +51,27 @@
 	if slowdown <= 0 || !at.After(p.at) {
 		return
 	}
-	if p.slowdown > 0 {
-		// Between two reports the speed is taken to have been the mean of both.
-		p.progress += time.Duration(float64(at.Sub(p.at)) * (1/p.slowdown + 1/slowdown) / 2)
-	}
 	p.slowdown = slowdown
 	p.at = at
 	p.own = own
 }
 
+// certain is the slowdown at a start now, zero if what was heard is too old to
+// learn from; a target that says nothing counts as usual.
+func (p *pace) certain(now time.Time) float64 {
+	switch {
+	case p.slowdown == 0:
+		return 1
+	case now.Sub(p.at) > certainAge:
+		return 0
+	default:
+		return p.slowdown
+	}
+}
+
+// certainAge is the age up to which a reported slowdown says at what speed a request starts.
+const certainAge = 80 * time.Millisecond
+
 // age is how old the slowdown is; zero if nothing was heard.
 func (p *pace) age(now time.Time) time.Duration {
 	if p.at.IsZero() {
@@ -79,14 +89,6 @@
 	return usual + weight*(p.slowdown-usual)
 }
 
-// done is the progress up to now.
-func (p *pace) done(now time.Time) time.Duration {
-	if p.slowdown == 0 {
-		return p.progress
-	}
-	return p.progress + time.Duration(float64(now.Sub(p.at))/p.slowdown)
-}
-
 func (p *pace) failed(now time.Time) {
 	share := p.errorShare(now)
 	p.errors = share + errorGain*(1-share)
--- a/pkg/choose/pool.go
+++ b/pkg/choose/pool.go
@@ -36,9 +36,10 @@
 type attempt struct {
 	target *state
 	sent   time.Time
-	// progress is the target's progress when the attempt was sent, and wasFull says that its last slot was taken.
-	progress time.Duration
-	wasFull  bool
+	// slowdown is what the target was expected to have when the attempt was sent, zero if that was too uncertain to learn from.
+	slowdown float64
+	// wasFull says that the target's last slot was taken then.
+	wasFull bool
 	// doubted attempts no longer hold a slot.
 	doubted bool
 }
@@ -77,8 +78,8 @@
 	byName map[string]*state
 	// classes holds the work of each class of requests, for the policy Speed.
 	classes map[string]*class
-	// usualRate is the smoothed rate of work at the targets, one where they are as fast as usual.
-	usualRate float64
+	// usual is the smoothed slowdown that targets report.
+	usual float64
 	// full is how many times as long work takes at targets with all slots busy.
 	full float64
 	// sharers is the number of hosts that use the targets alike.
@@ -98,9 +99,9 @@
 		calm:     now,
 		classes:  make(map[string]*class),
 
-		usualRate: 1,
-		full:      1,
-		sharers:   1,
+		usual:   1,
+		full:    1,
+		sharers: 1,
 	}
 }
 
@@ -260,7 +261,7 @@
 	target.start(now)
 	p.uses++
 	target.used = p.uses
-	r.attempts = append(r.attempts, attempt{target: target, sent: now, progress: target.pace.done(now), wasFull: target.occupancy(now) >= p.slots(target)})
+	r.attempts = append(r.attempts, attempt{target: target, sent: now, slowdown: target.pace.certain(now), wasFull: target.occupancy(now) >= p.slots(target)})
 	if p.settings.Policy == spec.PolicySpeed {
 		return p.grantBySpeed(r, target, cause)
 	}
@@ -433,8 +434,7 @@
 	}
 	actions := p.expireBySpeed(now)
 	granted := p.dispatch(now)
-	hedged := p.hedgeLaggards(now)
-	actions.Grants = append(granted.Grants, hedged.Grants...)
+	actions.Grants = granted.Grants
 	return actions
 }
 
--- a/pkg/choose/speed.go
+++ b/pkg/choose/speed.go
@@ -1,8 +1,6 @@
 package choose
 
 import (
-	"cmp"
-	"slices"
 	"time"
 )
 
@@ -13,20 +11,12 @@
 const (
 	// alike is how close two expected latencies are for the longest rest to decide.
 	alike = 0.05
-	// scarceShare is the share of open targets below which requests with time to spare leave the fast ones to others.
-	scarceShare = 0.25
-	// spareTime is how many times its expected latency must fit into the time to its objective for a request to have time to spare.
-	spareTime = 1.25
 	// fastSlowdown is the slowdown up to which a target counts as fast.
 	fastSlowdown = 2
-	// hedgeLate is how many times the expected latency an attempt must take before it is hedged, and hedgeShare the part of the objective.
-	hedgeLate  = 2
-	hedgeShare = 0.4
-	// restLeast is the least part of the work that is taken to be left of an attempt that is still out, and restSpread allows for longer work than the median.
-	restLeast  = 0.2
-	restSpread = 1.1
-	// laggardReserve is how many times the reserve of other hedges those leave whose target has only turned slow.
-	laggardReserve = 1.5
+	// hedgeLate is how many times the expected latency an attempt must take before it is hedged; few good ones take longer.
+	hedgeLate = 2
+	// lateReserve is how many times the reserve of other hedges those leave that will miss the objective all the same.
+	lateReserve = 1.8
 	// silentLate is how many times the expected latency an answer may take before its connection is doubted.
 	silentLate = 6
 )
@@ -54,8 +44,6 @@
 // comparison holds the targets that may take work.
 type comparison struct {
 	list []candidate
-	// isScarce says that few of them are open.
-	isScarce bool
 }
 
 // compare lists the targets that may take work, with what is expected of them.
@@ -104,17 +92,16 @@
 
 // choose returns the target for a request. Targets already tried are left out
 // while others remain.
-func (c *comparison) choose(now time.Time, r *pending, work time.Duration) choice {
-	chosen := c.chooseAmong(now, r, work, func(s *candidate) bool { return s.allows(r) && !r.hasTried(s.Name) })
+func (c *comparison) choose(r *pending, work time.Duration) choice {
+	chosen := c.chooseAmong(work, func(s *candidate) bool { return s.allows(r) && !r.hasTried(s.Name) })
 	if chosen.usable > 0 {
 		return chosen
 	}
-	return c.chooseAmong(now, r, work, func(s *candidate) bool { return s.allows(r) })
+	return c.chooseAmong(work, func(s *candidate) bool { return s.allows(r) })
 }
 
-func (c *comparison) chooseAmong(now time.Time, r *pending, work time.Duration, allows func(s *candidate) bool) choice {
+func (c *comparison) chooseAmong(work time.Duration, allows func(s *candidate) bool) choice {
 	var chosen choice
-	left := r.due().Sub(now)
 	for i := range c.list {
 		s := &c.list[i]
 		if !allows(s) {
@@ -130,7 +117,7 @@
 		}
 		chosen.open++
 		cost := float64(latency) * s.forecast.penalty
-		if chosen.free == nil || c.isBetter(s, latency, cost, &chosen, left) {
+		if chosen.free == nil || s.isBetter(cost, &chosen) {
 			chosen.free = s
 			chosen.latency = latency
 			chosen.cost = cost
@@ -139,13 +126,12 @@
 	return chosen
 }
 
-// isBetter prefers the target that answers first. While few are open, a request
-// with time to spare takes the slowest one that is fast enough for it.
-func (c *comparison) isBetter(s *candidate, latency time.Duration, cost float64, than *choice, left time.Duration) bool {
+// isBetter lets the longest rest decide between targets that cost nearly the same.
+func (c *candidate) isBetter(cost float64, than *choice) bool {
 	if cost < than.cost*(1-alike) || cost > than.cost*(1+alike) {
 		return cost < than.cost
 	}
-	return s.used < than.free.used
+	return c.used < than.free.used
 }
 
 // arriveBySpeed refuses at once what could be answered only too late, because
@@ -176,7 +162,7 @@
 	}
 	slots := 0
 	for _, s := range p.targets {
-		if !s.Leaving && !s.draining && s.pace.expected(now, p.usualSlowdown()) <= fastSlowdown {
+		if !s.Leaving && !s.draining && s.pace.expected(now, p.usual) <= fastSlowdown {
 			slots += p.usefulSlots(s)
 		}
 	}
@@ -185,7 +171,7 @@
 
 // quick is the latency to expect of a fast target.
 func (p *Pool) quick(r *pending) time.Duration {
-	return time.Duration(lasting(p.work(r), 1, p.usualSlowdown()))
+	return p.work(r)
 }
 
 // isLateByWaiting reports whether a request that could be answered in time if it
@@ -229,7 +215,7 @@
 		if p.isInTime(now, r) != inTime {
 			continue
 		}
-		chosen := c.choose(now, r, p.work(r))
+		chosen := c.choose(r, p.work(r))
 		if chosen.free == nil {
 			return
 		}
@@ -260,7 +246,7 @@
 	}
 	grant.SilentAfter = silentLate * chosen.latency
 	if r.Idempotent && !r.Single && !r.isSpent() && p.settings.HedgeQuantile < 1 {
-		grant.HedgeAfter = max(hedgeLate*chosen.latency, time.Duration(hedgeShare*float64(r.objective())))
+		grant.HedgeAfter = hedgeLate * chosen.latency
 	}
 	*chosen.free = p.candidate(now, chosen.free.state)
 	return grant
@@ -295,8 +281,12 @@
 // hedgeBySpeed sends a late request to another target if that would answer before the deadline.
 func (p *Pool) hedgeBySpeed(now time.Time, r *pending) Actions {
 	c := p.compare(now)
-	chosen := c.choose(now, r, p.work(r))
-	if !p.canHedge(now, r, chosen, r.Deadline, p.reserve()) {
+	chosen := c.choose(r, p.work(r))
+	reserve := p.reserve()
+	if now.Add(chosen.latency).After(r.due()) {
+		reserve *= lateReserve
+	}
+	if !p.canHedge(now, r, chosen, r.Deadline, reserve) {
 		return Actions{}
 	}
 	return Actions{Grants: []Grant{p.grantChosen(now, r, chosen, CauseHedge+" of a late answer")}}
@@ -309,49 +299,3 @@
 	}
 	return now.Add(chosen.latency).Before(until) && p.extra.SpendAbove(reserve)
 }
-
-// hedgeLaggards sends requests to another target whose own has turned slow, if
-// they would miss their objective where they are and meet it there.
-func (p *Pool) hedgeLaggards(now time.Time) Actions {
-	var actions Actions
-	if p.load > p.settings.BusyShare || p.waiting.len() > 0 || p.settings.HedgeQuantile >= 1 {
-		return actions
-	}
-	laggards := p.laggards(now)
-	if len(laggards) == 0 {
-		return actions
-	}
-	c := p.compare(now)
-	for _, r := range laggards {
-		if chosen := c.choose(now, r, p.work(r)); p.canHedge(now, r, chosen, r.due(), laggardReserve*p.reserve()) {
-			actions.Grants = append(actions.Grants, p.grantChosen(now, r, chosen, CauseHedge+": the target has turned slow"))
-		}
-	}
-	return actions
-}
-
-// laggards lists the requests that miss their objective where they are, oldest first.
-func (p *Pool) laggards(now time.Time) []*pending {
-	var found []*pending
-	for _, r := range p.requests {
-		if len(r.attempts) == 1 && p.mayHedge(r) && p.lags(now, r) {
-			found = append(found, r)
-		}
-	}
-	slices.SortFunc(found, func(a, b *pending) int { return cmp.Compare(a.ID, b.ID) })
-	return found
-}
-
-// lags reports whether the only attempt of a request is expected to end after the objective.
-func (p *Pool) lags(now time.Time, r *pending) bool {
-	a := &r.attempts[0]
-	if !a.target.isOut(a.sent) || !now.Before(r.due()) || a.target.pace.slowdown == 0 {
-		return false
-	}
-	work := p.work(r)
-	done := a.target.pace.done(now) - a.progress
-	rest := max(time.Duration(restSpread*float64(work))-done, time.Duration(restLeast*float64(work)))
-	f := p.forecast(now, a.target)
-	f.factor = 1 // a running request takes a slot already, and its progress shows what else there is
-	return now.Add(f.latency(rest)).After(r.due())
-}
