--- a/internal/entry/runlog.go
+++ b/internal/entry/runlog.go
@@ -22,6 +22,7 @@
 		slog.Int64("HeardAgoMillis", grant.HeardAgo.Milliseconds()),
 		slog.Int("Usable", grant.Usable),
 		slog.Int("Open", grant.Open),
+		slog.Float64("Crowding", grant.Crowding),
 		slog.Int64("BestMillis", grant.Best.Milliseconds()),
 		slog.Int64("WaitedMillis", grant.Waited.Milliseconds()),
 		slog.Int64("ExpectedMillis", grant.Expected.Milliseconds()),
--- a/pkg/choose/speed.go
+++ b/pkg/choose/speed.go
@@ -14,9 +14,7 @@
 	// fastSlowdown is the slowdown up to which a target counts as fast.
 	fastSlowdown = 2
 	// hedgeLate is how many times the expected latency an attempt must take before it is hedged; few good ones take longer.
-	hedgeLate = 2
-	// lateReserve is how many times the reserve of other hedges those leave that will miss the objective all the same.
-	lateReserve = 1.8
+	hedgeLate = 2.2
 	// silentLate is how many times the expected latency an answer may take before its connection is doubted.
 	silentLate = 6
 )
@@ -240,13 +238,14 @@
 	grant.Usable = chosen.usable
 	grant.Open = chosen.open
 	grant.Best = chosen.best
+	grant.Crowding = p.full
 	grant.Expected = chosen.latency
 	if len(chosen.free.sent) == 1 {
 		chosen.free.pace.oldestExpected = chosen.latency
 	}
 	grant.SilentAfter = silentLate * chosen.latency
 	if r.Idempotent && !r.Single && !r.isSpent() && p.settings.HedgeQuantile < 1 {
-		grant.HedgeAfter = hedgeLate * chosen.latency
+		grant.HedgeAfter = time.Duration(hedgeLate * float64(chosen.latency))
 	}
 	*chosen.free = p.candidate(now, chosen.free.state)
 	return grant
@@ -273,29 +272,27 @@
 	return actions
 }
 
-// mayHedge reports whether the service has room for second attempts.
+// mayHedge reports whether a request may have another attempt beside one that is
+// out. Few good answers take as long as the hedge waits, so that a late one is
+// mostly lost or stuck, under load as well; the budget bounds the rest.
 func (p *Pool) mayHedge(r *pending) bool {
-	return r.Idempotent && !r.Single && !r.isSpent() && len(r.attempts) > 0 && p.load <= p.settings.BusyShare && p.waiting.len() == 0
+	return r.Idempotent && !r.Single && !r.isSpent() && len(r.attempts) > 0
 }
 
 // hedgeBySpeed sends a late request to another target if that would answer before the deadline.
 func (p *Pool) hedgeBySpeed(now time.Time, r *pending) Actions {
 	c := p.compare(now)
 	chosen := c.choose(r, p.work(r))
-	reserve := p.reserve()
-	if now.Add(chosen.latency).After(r.due()) {
-		reserve *= lateReserve
-	}
-	if !p.canHedge(now, r, chosen, r.Deadline, reserve) {
+	if !p.canHedge(now, r, chosen) {
 		return Actions{}
 	}
 	return Actions{Grants: []Grant{p.grantChosen(now, r, chosen, CauseHedge+" of a late answer")}}
 }
 
-// canHedge reports whether another attempt would answer until a time, and spends it.
-func (p *Pool) canHedge(now time.Time, r *pending, chosen choice, until time.Time, reserve float64) bool {
+// canHedge reports whether another attempt would answer before the deadline, and spends it.
+func (p *Pool) canHedge(now time.Time, r *pending, chosen choice) bool {
 	if chosen.free == nil || r.hasTried(chosen.free.Name) || chosen.free.isEjected(now) {
 		return false
 	}
-	return now.Add(chosen.latency).Before(until) && p.extra.SpendAbove(reserve)
+	return now.Add(chosen.latency).Before(r.Deadline) && p.extra.SpendAbove(p.reserve())
 }
--- a/pkg/choose/types.go
+++ b/pkg/choose/types.go
@@ -87,6 +87,8 @@
 	// with a free slot, and Best is the lowest latency expected of any of them.
 	Usable, Open int
 	Best         time.Duration
+	// Crowding is how many times as long work takes at targets with all slots busy.
+	Crowding float64
 }
 
 // Refusal tells the caller of the pool that a request is not run.
