--- a/pkg/choose/pool.go
+++ b/pkg/choose/pool.go
@@ -108,7 +108,7 @@
 // reserve is the part of the saved extra attempts that hedges leave to retries.
 func (p *Pool) reserve() float64 {
 	if p.settings.ExtraBurst > 0 {
-		return p.settings.ExtraBurst / 2
+		return p.settings.ExtraBurst / 4
 	}
 	return retryReserve
 }
