--- a/pkg/choose/speed.go
+++ b/pkg/choose/speed.go
@@ -279,10 +279,15 @@
 	return r.Idempotent && !r.Single && !r.isSpent() && len(r.attempts) > 0
 }
 
-// hedgeBySpeed sends a late request to another target if that would answer before the deadline.
+// hedgeBySpeed sends a late request to another target if that would answer
+// before the deadline; without an open one it waits at the head of the queue.
 func (p *Pool) hedgeBySpeed(now time.Time, r *pending) Actions {
 	c := p.compare(now)
 	chosen := c.choose(r, p.work(r))
+	if chosen.free == nil && !p.waiting.has(r.ID) && p.extra.SpendAbove(p.reserve()) {
+		p.waiting.pushFront(r)
+		return Actions{}
+	}
 	if !p.canHedge(now, r, chosen) {
 		return Actions{}
 	}
