--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -112,7 +112,7 @@
 	ctx, cancel := context.WithTimeout(d.ctx, wait+storeTimeout)
 	defer cancel()
 	var delta facts.Delta
-	err := error(ErrTrimmed)
+	err := ErrTrimmed
 	if isKnown {
 		delta, err = d.adapter.Store.Changes(ctx, f.name, from, wait)
 	}
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -69,8 +69,3 @@
 	}
 	return addresses, d.settings.DirectoryHold, nil
 }
-
-// BodyLimit returns the largest request body in bytes.
-func (d *Daemon) BodyLimit() int64 {
-	return int64(d.settings.BodyBytesAtMost)
-}
--- a/pkg/choose/speed_test.go
+++ b/pkg/choose/speed_test.go
@@ -19,7 +19,7 @@
 // speedPool returns a pool of targets with the slowdowns given by name.
 func speedPool(slowdowns map[string]float64) *choose.Pool {
 	pool := choose.New(speedSettings, 1, morning)
-	var targets []choose.Target
+	targets := make([]choose.Target, 0, len(slowdowns))
 	for name := range slowdowns {
 		targets = append(targets, choose.Target{Name: name, FailureDomain: "a", Slots: 2, Spare: true})
 	}
@@ -170,34 +170,30 @@
 			pool := choose.New(speedSettings, 1, morning)
 			pool.SetTargets(morning, []choose.Target{{Name: "only", FailureDomain: "a", Slots: 3}})
 			now := morning
-			id := uint64(0)
-			// Rounds of one request alone and of three at once.
-			for range 60 {
-				for _, together := range []int{1, 3} {
-					took := 100 * time.Millisecond
-					if together == 3 {
-						took = test.full
-					}
-					first := id
-					pool.Probed(now, "only", &choose.Report{Slowdown: 1})
-					for range together {
-						arrive(pool, now, id, nil)
-						id++
-					}
-					for granted := first; granted < id; granted++ {
-						report := &choose.Report{Slowdown: 1, Running: together}
-						pool.Finish(now.Add(took), granted, 1, choose.Outcome{Kind: choose.Answered, Latency: took, Report: report})
-						pool.Release(now.Add(took), granted)
-					}
-					now = now.Add(500 * time.Millisecond)
-				}
+			for round := range uint64(60) {
+				now = playRound(pool, now, 10*round, 1, 100*time.Millisecond)
+				now = playRound(pool, now, 10*round+5, 3, test.full)
 			}
 			granted := 0
-			for range 3 {
-				granted += len(arrive(pool, now, id, nil).Grants)
-				id++
+			for id := range uint64(3) {
+				granted += len(arrive(pool, now, 1000+id, nil).Grants)
 			}
 			is.Equal(granted, test.wantOpen)
 		})
 	}
 }
+
+// playRound sends requests to the only target at once, which answers them all
+// after a time, and returns the time of the next round.
+func playRound(pool *choose.Pool, now time.Time, first, together uint64, took time.Duration) time.Time {
+	pool.Probed(now, "only", &choose.Report{Slowdown: 1})
+	for id := first; id < first+together; id++ {
+		arrive(pool, now, id, nil)
+	}
+	for id := first; id < first+together; id++ {
+		report := &choose.Report{Slowdown: 1, Running: int(together)}
+		pool.Finish(now.Add(took), id, 1, choose.Outcome{Kind: choose.Answered, Latency: took, Report: report})
+		pool.Release(now.Add(took), id)
+	}
+	return now.Add(500 * time.Millisecond)
+}
--- a/pkg/steer/steer_test.go
+++ b/pkg/steer/steer_test.go
@@ -69,9 +69,12 @@
 
 func TestStrongTakesEnoughOfTheStrongestHosts(t *testing.T) {
 	uneven := []steer.Host{
-		{Name: "a1", FailureDomain: "a", Capacity: 50}, {Name: "a2", FailureDomain: "a", Capacity: 200},
-		{Name: "b1", FailureDomain: "b", Capacity: 200}, {Name: "b2", FailureDomain: "b", Capacity: 50},
-		{Name: "c1", FailureDomain: "c", Capacity: 200}, {Name: "c2", FailureDomain: "c", Capacity: 200},
+		{Name: "a1", FailureDomain: "a", Capacity: 50},
+		{Name: "a2", FailureDomain: "a", Capacity: 200},
+		{Name: "b1", FailureDomain: "b", Capacity: 200},
+		{Name: "b2", FailureDomain: "b", Capacity: 50},
+		{Name: "c1", FailureDomain: "c", Capacity: 200},
+		{Name: "c2", FailureDomain: "c", Capacity: 200},
 	}
 	tests := []struct {
 		name         string
