--- a/internal/entry/sight.go
+++ b/internal/entry/sight.go
@@ -216,6 +216,10 @@
 // failSilent takes steered hosts out of use that send no beacons any more. Hosts
 // that were steered to only lately get the time to send their first one.
 func (d *Daemon) failSilent(now time.Time) {
+	if d.draining.Load() {
+		// Others send nothing to a host that leaves.
+		return
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	limit := farSilentAfter
@@ -229,7 +233,7 @@
 		if h.Name == d.settings.Name || !found || silence < limit {
 			continue
 		}
-		d.peerLog.Warn("steered host sends no beacons; callers are sent elsewhere", "Host", h.Name, "SilentMillis", silence.Milliseconds())
+		d.peerLog.Warn("steered host sends no beacons; callers are sent elsewhere", "Silent", h.Name, "SilentMillis", silence.Milliseconds())
 		d.members.Refused(now, h.Name, m.Incarnation)
 		isChanged = true
 	}
