--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -113,9 +113,9 @@
 		{Section: "Host", Key: "LinkMbits", Unit: "Mbit/s", Default: "1000", Allowed: "1 to 1000000", About: "Network of the host (form Store).", Set: spec.Float(&s.LinkMbits, 1, 1000000)},
 		{Section: "Steering", Key: "SlotsPerCore", Unit: "slots", Default: "300", Allowed: "1 to 100000", About: "Slots of targets that a core serves at about a quarter of its time: a request takes 0.5 ms, and a slot turns out one or two requests a second (form Store).", Set: spec.Int(&s.SlotsPerCore, 1, 100000)},
 		{Section: "Steering", Key: "SlotsPerMbit", Unit: "slots", Default: "5", Allowed: "1 to 100000", About: "Slots of targets that a Mbit/s serves at about a quarter of the link: a request takes 6 KB in and out (form Store).", Set: spec.Int(&s.SlotsPerMbit, 1, 100000)},
-		{Section: "Steering", Key: "DirectoryHoldMillis", Unit: "ms", Default: "2000", Allowed: "100 to 600000", About: "How long callers may keep a directory answer (form Store).", Set: spec.Millis(&s.DirectoryHold, 100*time.Millisecond, 10*time.Minute)},
-		{Section: "Stop", Key: "HoldMillis", Unit: "ms", Default: "4500", Allowed: "0 to 600000", About: "How long a stopping host takes requests of callers that have not heard of it yet (form Store).", Set: spec.Millis(&s.StopHold, 0, 10*time.Minute)},
-		{Section: "Stop", Key: "WithinMillis", Unit: "ms", Default: "5700", Allowed: "0 to 600000", About: "Time from the signal to stop to the exit, less than the platform's grace time (form Store).", Set: spec.Millis(&s.StopWithin, 0, 10*time.Minute)},
+		{Section: "Steering", Key: "DirectoryHoldSeconds", Unit: "s", Default: "5", Allowed: "0.1 to 600", About: "How long callers may keep a directory answer (form Store). A look-up costs a caller two round trips; one that keeps an answer too long finds a stopped host and takes another address.", Set: seconds(&s.DirectoryHold)},
+		{Section: "Stop", Key: "HoldMillis", Unit: "ms", Default: "2500", Allowed: "0 to 600000", About: "How long a stopping host takes requests of callers that have not heard of it yet; what it takes must be answered before it exits (form Store).", Set: spec.Millis(&s.StopHold, 0, 10*time.Minute)},
+		{Section: "Stop", Key: "WithinMillis", Unit: "ms", Default: "5400", Allowed: "0 to 600000", About: "Time from the signal to stop to the exit, less than the platform's grace time (form Store).", Set: spec.Millis(&s.StopWithin, 0, 10*time.Minute)},
 		{Section: "Retries", Key: "ShareOfRequests", Default: "0.2", Allowed: "0 to 1", About: "Extra attempts of all hosts together as a share of requests (form Store).", Set: spec.Float(&s.RetryShare, 0, 1)},
 		{Section: "Retries", Key: "Burst", Unit: "attempts", Default: "50", Allowed: "0 to 100000", About: "Extra attempts of all hosts together beyond the share, in a window (form Store).", Set: spec.Float(&s.RetryBurst, 0, 100000)},
 		{Section: "Measuring", Key: "ProbesPerSecond", Unit: "probes", Default: "10", Allowed: "0 to 10000", About: "Probes of one target a second by all hosts together (form Store).", Set: spec.Float(&s.ProbesPerSecond, 0, 10000)},
@@ -161,6 +161,15 @@
 	return err == nil
 }
 
+func seconds(into *time.Duration) func(string) bool {
+	return func(value string) bool {
+		var parsed float64
+		isValid := spec.Float(&parsed, 0.1, 600)(value)
+		*into = time.Duration(parsed * float64(time.Second))
+		return isValid
+	}
+}
+
 func flag(into *bool) func(string) bool {
 	return func(value string) bool {
 		parsed, err := strconv.ParseBool(value)
--- a/internal/config/settings_test.go
+++ b/internal/config/settings_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -53,3 +54,14 @@
 		})
 	}
 }
+
+// TestStopLeavesTimeToAnswer checks the defaults against the users' bounds: a
+// process is ended 6 s after the signal, and the longest request takes 2 s.
+func TestStopLeavesTimeToAnswer(t *testing.T) {
+	is := is.New(t)
+	text := "[Host]\nName = a\nFailureDomain = d\nCallerAddress = 127.0.0.1:1\nPeerAddress = 127.0.0.1:2\nAdminAddress = 127.0.0.1:3\n[Platform]\nAddress = 127.0.0.1:4\n"
+	settings, err := config.Parse("test", []byte(text))
+	is.NoErr(err)
+	is.True(settings.StopHold+2*time.Second <= settings.StopWithin)
+	is.True(settings.StopWithin <= 6*time.Second-500*time.Millisecond)
+}
