--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -274,10 +274,10 @@
 func (d *Daemon) HoldTime() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	longest := time.Duration(0)
 	if d.adapter.Store != nil {
-		longest = d.settings.StopHold
+		return d.settings.StopHold
 	}
+	longest := time.Duration(0)
 	for _, s := range d.services {
 		longest = max(longest, s.document.DirectoryHold)
 	}
--- a/pkg/choose/forecast.go
+++ b/pkg/choose/forecast.go
@@ -11,6 +11,9 @@
 	errorFactor = 8
 	// farFactor is the relative cost of a target in another failure domain, whose bytes are paid for.
 	farFactor = 0.3
+	// unheardAge is how long a target that tells its speed may be silent before it counts as hardly reachable; some host asks it ten times a second.
+	unheardAge    = 500 * time.Millisecond
+	unheardFactor = 4
 	// overdue is how many times the expected latency an attempt may be out before its target counts as slower.
 	overdue = 2.5
 	// usualGain smooths the speed over the reports of a second or so.
@@ -57,6 +60,9 @@
 	if late := s.overdue(now); late > overdue {
 		f.penalty *= late / overdue
 	}
+	if s.pace.age(now) > unheardAge {
+		f.penalty *= unheardFactor
+	}
 	if s.FailureDomain != p.settings.FailureDomain {
 		f.penalty *= 1 + farFactor
 	}
--- a/pkg/choose/pool.go
+++ b/pkg/choose/pool.go
@@ -488,6 +488,7 @@
 	}
 	if report == nil {
 		s.heard = now
+		s.pace.failed(now)
 		s.errorsInRow++
 		if s.errorsInRow >= errorsToEject || s.trial {
 			p.tryEject(now, s, "failed probes")
