--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -29,8 +29,8 @@
 	lapseGrace = 2300 * time.Millisecond
 	// unknownRouteAge is the age of the configuration up to which a request without a route is refused for good.
 	unknownRouteAge = 1500 * time.Millisecond
-	// factsTimeout bounds the question of what another host knows.
-	factsTimeout = 500 * time.Millisecond
+	// factsTimeout bounds the question of what another host knows; the answer may share a small link with those to all other hosts.
+	factsTimeout = time.Second
 	// sourceStore names the store as the source of facts in log lines.
 	sourceStore = "store"
 	// meetAfter is how long a fresh host waits to hear of others before it looks for them in the store.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/encoding/gzip"
 	"google.golang.org/grpc/keepalive"
 
 	"gitlab.com/curranttiller/curranttiller/internal/peerpb"
@@ -145,7 +146,8 @@
 	if err != nil {
 		return facts.Delta{}, err
 	}
-	reply, err := client.Facts(ctx, &peerpb.FactsRequest{Protocol: Protocol, Topic: topic, From: from})
+	// Many hosts ask one for a new configuration at once, whose text compresses well.
+	reply, err := client.Facts(ctx, &peerpb.FactsRequest{Protocol: Protocol, Topic: topic, From: from}, grpc.UseCompressor(gzip.Name))
 	if err != nil {
 		return facts.Delta{}, eris.Wrapf(err, "facts of topic %s from %s", topic, address)
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -129,3 +129,27 @@
 	_, err = pool.Facts(t.Context(), address, "unknown", 0)
 	is.Equal(status.Code(eris.Cause(err)), codes.NotFound)
 }
+
+// configured tells a large and repetitive fact, as configurations are.
+type configured struct {
+	echo
+}
+
+const configuredBytes = 200 << 10
+
+func (configured) Facts(string, uint64) (facts.Delta, bool) {
+	return facts.Delta{Through: 1, Facts: []facts.Fact{{Key: "config", Value: []byte(strings.Repeat(`{"path-prefix":"/a/"},`, configuredBytes/22))}}}, true
+}
+
+// TestLargeFactsTravelCompressed replays many hosts that ask one for a new
+// configuration at once: uncompressed, they fill its link for seconds.
+func TestLargeFactsTravelCompressed(t *testing.T) {
+	is := is.New(t)
+	address := startServer(t, configured{})
+	received := new(atomic.Int64)
+	pool := peer.NewPool(received)
+	defer pool.Close()
+	_, err := pool.Facts(t.Context(), address, "known", 0)
+	is.NoErr(err)
+	is.True(received.Load() < configuredBytes/8)
+}
