--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -297,6 +297,9 @@
 		r.running++
 		return true, nil
 	}
+	if result.answer != nil {
+		r.service.noteLimit(result.target, result.answer.Limit, limitFromAnswer)
+	}
 	r.service.finish(r.id, result.attempt, outcome)
 	if verdictOf(result) != fault.NotRun {
 		r.mayHaveRun = true
--- a/internal/entry/requestlog.go
+++ b/internal/entry/requestlog.go
@@ -50,6 +50,9 @@
 	if report := won.answer.Report; report != nil {
 		fields = append(fields, slog.Int("ReportedRunning", report.Running), slog.Int("ReportedWaiting", report.Waiting), slog.Float64("ReportedSlowdown", report.Slowdown))
 	}
+	if named := won.answer.Limit.PerSecond; named > 0 {
+		fields = append(fields, slog.Float64("ReportedLimit", named))
+	}
 	r.service.daemon.requestLog.Info("request answered", fields...)
 }
 
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -13,6 +13,7 @@
 	"gitlab.com/curranttiller/curranttiller/pkg/budget"
 	"gitlab.com/curranttiller/curranttiller/pkg/choose"
 	"gitlab.com/curranttiller/curranttiller/pkg/event"
+	"gitlab.com/curranttiller/curranttiller/pkg/limit"
 	"gitlab.com/curranttiller/curranttiller/pkg/spec"
 	"gitlab.com/curranttiller/curranttiller/pkg/steer"
 )
@@ -64,6 +65,9 @@
 	lastHousekeeping time.Time
 	// poolDocument is a copy of document for code that holds only mu.
 	poolDocument spec.Document
+	// lastNamed is what each target last stated about its limit, without targets that state
+	// nothing.
+	lastNamed map[string]limit.Named
 }
 
 type serviceMetrics struct {
@@ -73,6 +77,9 @@
 	rescues  *metrics.Counter
 	refusals *metrics.Counter
 	probes   *metrics.Counter
+	// limitedAnswers and limitedProbes count the answers to requests and to probes in which
+	// a target named a limit, and unusableLimits those with an unusable one.
+	limitedAnswers, limitedProbes, unusableLimits *metrics.Counter
 	// waited is the time from the arrival of a request to the grant of the attempt that
 	// won, target the latency of that attempt, and total the time from the arrival to
 	// the end of the answer, all in seconds.
@@ -90,6 +97,7 @@
 		waited: histogram("waited"), target: histogram("target"), total: histogram("total"),
 		requests: counter("requests"), retries: counter("retries"), hedges: counter("hedges"), rescues: counter("rescues"),
 		refusals: counter("refusals"), probes: counter("probes"),
+		limitedAnswers: counter("limited_answers"), limitedProbes: counter("limited_probes"), unusableLimits: counter("unusable_limits"),
 	}
 }
 
@@ -107,6 +115,7 @@
 		decisions:    make(map[uint64]chan decision),
 		probeBudgets: make(map[string]*budget.Share),
 		ejected:      make(map[string]bool),
+		lastNamed:    make(map[string]limit.Named),
 	}
 	s.client = target.NewClient(s.limits, d.adapter.TargetProtocol)
 	return s
--- a/internal/entry/timers.go
+++ b/internal/entry/timers.go
@@ -94,7 +94,10 @@
 	}
 	d.counters.probes.Inc()
 	s.metrics.probes.Inc()
-	report := client.Probe(d.ctx, s.name, address, name, probeTimeout)
+	report, named := client.Probe(d.ctx, s.name, address, name, probeTimeout)
+	if named != nil {
+		s.noteLimit(name, *named, limitFromProbe)
+	}
 	if report == nil {
 		d.events.Add(event.Event{Kind: "ProbeFailed", Service: s.name, Target: name})
 	}
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -15,6 +15,7 @@
 
 	"gitlab.com/curranttiller/curranttiller/pkg/choose"
 	"gitlab.com/curranttiller/curranttiller/pkg/fault"
+	"gitlab.com/curranttiller/curranttiller/pkg/limit"
 )
 
 const (
@@ -71,6 +72,8 @@
 	ContentLength int64
 	// Report is the load that the target stated, or nil if it stated none.
 	Report *choose.Report
+	// Limit is what the answer states about the target's limit on requests.
+	Limit limit.Named
 	// Verdict says whether the target ran the work, as the protocol read it from the
 	// answer.
 	Verdict fault.Verdict
@@ -93,6 +96,8 @@
 type ResponseInfo struct {
 	// Report is the load that the target stated, or nil if it stated none.
 	Report *choose.Report
+	// Limit is what the response states about the target's limit on requests.
+	Limit limit.Named
 	// Verdict says whether the target ran the work.
 	Verdict fault.Verdict
 }
@@ -234,6 +239,7 @@
 		Body:          response.Body,
 		ContentLength: response.ContentLength,
 		Report:        info.Report,
+		Limit:         info.Limit,
 		Verdict:       info.Verdict,
 	}, nil
 }
@@ -335,27 +341,28 @@
 
 // Probe asks a target for its load and returns nil if it gets no valid report within
 // the timeout. A report with status 503 is returned and marked as unhealthy, because
-// the target did answer. The results of requests decide whether it is usable.
-func (c *Client) Probe(ctx context.Context, service, address, instance string, timeout time.Duration) *choose.Report {
+// the target did answer. The results of requests decide whether it is usable. The second
+// result is what the answer states about the target's limit, nil without an answer.
+func (c *Client) Probe(ctx context.Context, service, address, instance string, timeout time.Duration) (*choose.Report, *limit.Named) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request := c.protocol.ProbeRequest(service, address, instance)
 	request.Deadline = time.Now().Add(timeout)
 	answer, err := c.Do(ctx, request)
 	if err != nil {
-		return nil
+		return nil, nil
 	}
 	defer func() { _ = answer.Body.Close() }()
 	if _, err := io.CopyN(io.Discard, answer.Body, maxProbeBytes); !errors.Is(err, io.EOF) {
-		return nil
+		return nil, nil
 	}
 	if answer.Report != nil && answer.Status == http.StatusServiceUnavailable {
 		unhealthy := *answer.Report
 		unhealthy.Unhealthy = true
-		return &unhealthy
+		return &unhealthy, &answer.Limit
 	}
 	if answer.Status != http.StatusOK {
-		return nil
+		return nil, nil
 	}
-	return answer.Report
+	return answer.Report, &answer.Limit
 }
--- a/internal/target/protocol.go
+++ b/internal/target/protocol.go
@@ -8,6 +8,7 @@
 	"gitlab.com/curranttiller/curranttiller/pkg/choose"
 	"gitlab.com/curranttiller/curranttiller/pkg/fault"
 	"gitlab.com/curranttiller/curranttiller/pkg/header"
+	"gitlab.com/curranttiller/curranttiller/pkg/limit"
 )
 
 // loadPath is the URL path at which targets report their load.
@@ -28,7 +29,7 @@
 // work was refused, a response that ends by the close of the connection is an error,
 // whose verdict is Ran.
 func (NativeProtocol) ParseResponse(response *http.Response, _ *Request) (ResponseInfo, *fault.Error) {
-	info := ResponseInfo{Report: parseReport(response.Header), Verdict: fault.Ran}
+	info := ResponseInfo{Report: parseReport(response.Header), Limit: limit.Parse(response.Header.Get(header.Limit)), Verdict: fault.Ran}
 	if response.Header.Get(header.Refused) == fault.NotRun.String() {
 		info.Verdict = fault.NotRun
 		return info, nil
--- a/pkg/header/header.go
+++ b/pkg/header/header.go
@@ -44,6 +44,9 @@
 	Waiting = "Tiller-Waiting"
 	// Draining is "true" if the target must not get new requests.
 	Draining = "Tiller-Draining"
+	// Limit is the number of requests a second that the target takes from all entry hosts
+	// together. A target sets it for as long as the limit is in force.
+	Limit = "Tiller-Limit"
 )
 
 // MaxDepth is the lowest Depth at which an entry host refuses a request, to end loops of calls.
--- /dev/null
+++ b/pkg/limit/named.go
@@ -0,0 +1,62 @@
+package limit
+
+import (
+	"strconv"
+	"strings"
+)
+
+const (
+	// MinPerSecond is the lowest limit that is kept. A target with a limit of zero gets
+	// this many requests a second, because only an answer shows that its limit has ended.
+	MinPerSecond = 1.0 / 60
+	// MaxPerSecond is the highest limit that is kept. Higher ones are cut to it.
+	MaxPerSecond = 1e6
+	// maxTextBytes is the length to which the text of a statement is cut.
+	maxTextBytes = 64
+)
+
+// Named is what one answer of a target states about its limit.
+type Named struct {
+	// PerSecond is the limit in requests a second, from MinPerSecond to MaxPerSecond. It is
+	// zero if the answer states no limit or an unusable one.
+	PerSecond float64
+	// Problem says why the text is unusable or was replaced by a bound; empty if it is
+	// neither.
+	Problem string
+	// Text is the text that Problem is about, cut to 64 bytes; empty without a problem.
+	Text string
+}
+
+// Parse parses a limit, a decimal number of requests a second. An empty text states no
+// limit. Zero counts as MinPerSecond. Numbers below MinPerSecond and above MaxPerSecond
+// count as these bounds. Any other text is unusable.
+func Parse(text string) Named {
+	text = strings.TrimSpace(text)
+	if text == "" {
+		return Named{}
+	}
+	perSecond, err := strconv.ParseFloat(text, 64)
+	switch {
+	case strings.Trim(text, "+-.0123456789") != "" || (err != nil && perSecond == 0):
+		return Named{}.withProblem("not a decimal number", text)
+	case perSecond < 0:
+		return Named{}.withProblem("negative", text)
+	case perSecond < MinPerSecond:
+		return Named{PerSecond: MinPerSecond}.withProblem("below the lowest limit", text)
+	case perSecond > MaxPerSecond:
+		return Named{PerSecond: MaxPerSecond}.withProblem("above the highest limit", text)
+	default:
+		return Named{PerSecond: perSecond}
+	}
+}
+
+func (n Named) withProblem(problem, text string) Named {
+	n.Problem = problem
+	n.Text = text[:min(len(text), maxTextBytes)]
+	return n
+}
+
+// IsUsable reports whether the answer states a limit that can be kept, or none.
+func (n Named) IsUsable() bool {
+	return n.PerSecond > 0 || n.Problem == ""
+}
