limit, choose, entry: keep the limits that targets name, for all hosts together

Cause: the limit of a target is a fact that all hosts must act on together, and nothing did: no host read it (the record shows first attempts of one host alone, 11 and 10 a second, above the limit), no decision used it, and beacons did not carry it. It belongs to the class of limits for all hosts that each host applies for itself or not at all.

Change: pkg/limit decides at one host about one target, with the time as input. First attempts, retries, hedges, rescues and probes all pass through it. Requests go to other targets; if all usable targets name limits and a request would be late, it is refused at once as LimitReached, with the time until the limits of all hosts allow it. A limit ends with an answer, to an attempt sent after the limit was last confirmed, that states none. Full beacons carry the limits, at once after a change and with each fifth one otherwise, so that hosts that never spoke to a target know its limit and its end.

--- a/internal/beacon/message.go
+++ b/internal/beacon/message.go
@@ -9,13 +9,18 @@
 	"google.golang.org/protobuf/proto"
 
 	"gitlab.com/curranttiller/curranttiller/internal/peerpb"
+	"gitlab.com/curranttiller/curranttiller/pkg/limit"
 )
 
 // ProtocolVersion is the version of the datagram format. Decode rejects any other.
 const ProtocolVersion = 1
 
-// percent converts ratios to the whole percentages that datagrams carry.
-const percent = 100
+const (
+	// percent converts ratios to the whole percentages that datagrams carry.
+	percent = 100
+	// milli converts requests a second to the requests in 1000 s that datagrams carry.
+	milli = 1000
+)
 
 // Message is the content of one beacon.
 type Message struct {
@@ -34,6 +39,9 @@
 	// sender sets it while a request waits in its queue, or if it has recently sent a
 	// request to a target in another failure domain.
 	WantsObservations bool
+	// Limits are what the sender knows of the limits that targets name, also from other
+	// hosts.
+	Limits []ServiceLimits
 }
 
 // WithObservations returns a copy of the message that carries observations of targets.
@@ -48,6 +56,12 @@
 	return m
 }
 
+// WithLimits returns a copy of the message that carries limits of targets.
+func (m Message) WithLimits(limits []ServiceLimits) Message {
+	m.Limits = limits
+	return m
+}
+
 // TopicExtent states how far the sender has read a topic.
 type TopicExtent struct {
 	Topic string
@@ -79,6 +93,23 @@
 	FailedShare float64
 }
 
+// ServiceLimits holds what the sender knows of the limits of a service's targets.
+type ServiceLimits struct {
+	Service string
+	Targets []TargetLimit
+}
+
+// TargetLimit is what the sender knows of the limit of one target.
+type TargetLimit struct {
+	// ID is the TargetID of the target's name.
+	ID uint32
+	// PerSecond is the number of requests a second that the target takes from all entry
+	// hosts together. It is zero if the target no longer names a limit.
+	PerSecond float64
+	// Age is the time since the target last confirmed this.
+	Age time.Duration
+}
+
 // TargetID returns a 32-bit hash of a target's name, which stands for the name in
 // beacons. If two targets of a service have the same hash, the observations of one
 // may be counted for the other. Requests may then go to a slower target, but never
@@ -98,6 +129,9 @@
 	for i := range m.Services {
 		wire.Services = append(wire.Services, encodeObservations(&m.Services[i]))
 	}
+	for i := range m.Limits {
+		wire.Limits = append(wire.Limits, encodeLimits(&m.Limits[i]))
+	}
 	encoded, err := proto.Marshal(wire)
 	return encoded, eris.Wrap(err, "encoding a beacon")
 }
@@ -140,9 +174,38 @@
 	for _, service := range wire.GetServices() {
 		m.Services = append(m.Services, decodeObservations(service))
 	}
+	for _, service := range wire.GetLimits() {
+		m.Limits = append(m.Limits, decodeLimits(service))
+	}
 	return m, nil
 }
 
+func encodeLimits(s *ServiceLimits) *peerpb.ServiceLimits {
+	wire := &peerpb.ServiceLimits{Service: s.Service}
+	for _, l := range s.Targets {
+		wire.Targets = append(wire.Targets, l.ID)
+		wire.MilliPerSecond = append(wire.MilliPerSecond, uint32(math.Round(l.PerSecond*milli)))
+		wire.AgeMillis = append(wire.AgeMillis, toMillis(l.Age))
+	}
+	return wire
+}
+
+// decodeLimits joins the lists of the wire format to one limit per target. Longer lists are
+// cut to the shortest, and limits to the range of package limit.
+func decodeLimits(wire *peerpb.ServiceLimits) ServiceLimits {
+	s := ServiceLimits{Service: wire.GetService()}
+	for i := range min(len(wire.GetTargets()), len(wire.GetMilliPerSecond()), len(wire.GetAgeMillis())) {
+		perSecond := float64(wire.GetMilliPerSecond()[i]) / milli
+		if perSecond > 0 {
+			perSecond = min(max(perSecond, limit.MinPerSecond), limit.MaxPerSecond)
+		}
+		s.Targets = append(s.Targets, TargetLimit{
+			ID: wire.GetTargets()[i], PerSecond: perSecond, Age: time.Duration(wire.GetAgeMillis()[i]) * time.Millisecond,
+		})
+	}
+	return s
+}
+
 // decodeObservations joins the lists of the wire format, one per field, to one
 // observation per target. The number of observations is the length of the shortest
 // list other than the failed shares, and longer lists are cut to it. If there are fewer
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -56,8 +56,7 @@
 	topicsRead     chan struct{}
 	topicsReadOnce sync.Once
 
-	// mu guards the fields below down to keysMu, except lastBeaconHadRequests and
-	// observationsDueAt. No call that can block is made while it is held.
+	// mu guards the fields below down to keysMu, except those that only the beacon loop uses. No call that can block is made while it is held.
 	mu      sync.Mutex
 	members *member.Table
 	// reader applies the records of the document log. republisher decides which documents
@@ -107,6 +106,9 @@
 	// beaconSequence is raised by each run of the beacon loop that may send, and is the
 	// sequence number of all beacons of that run.
 	beaconSequence uint64
+	// knownHosts is the estimated number of entry hosts that this host knows, itself
+	// included, and reachedHosts that of those that are alive.
+	knownHosts, reachedHosts int
 	// fanout holds the receivers of this host's beacons. It is updated when the membership
 	// table has settled and before each full beacon.
 	fanout fanout
@@ -120,6 +122,11 @@
 	// uses these two.
 	lastBeaconHadRequests bool
 	observationsDueAt     time.Time
+	// limitBeaconsLeft is the number of successive full beacons that must carry the limits
+	// of targets after a change. fullBeacons and limitBeacons count the full beacons and
+	// those with limits. Only the beacon loop uses these three.
+	limitBeaconsLeft          int
+	fullBeacons, limitBeacons uint64
 	// rowsRequestedAt is when a relay was last asked for member rows of steered hosts that this host lacks.
 	rowsRequestedAt time.Time
 
@@ -139,6 +146,8 @@
 	lastTick         atomic.Int64
 	// draining says that Leave was called.
 	draining atomic.Bool
+	// limitsChanged is set if other hosts must be told of a change of a target's limit.
+	limitsChanged atomic.Bool
 	// lastRequestID is the last ID that a request got in a pool.
 	lastRequestID atomic.Uint64
 
@@ -182,6 +191,8 @@
 		targets:       newFollowedTopic(TopicTargets, settings.FailureDomain),
 		splitter:      table.NewSplitter(rand.New(rand.NewPCG(incarnation, 0)).Float64),
 		jitter:        rand.New(rand.NewPCG(incarnation, 1)).Float64(),
+		knownHosts:    max(len(settings.Peers), 1),
+		reachedHosts:  1,
 
 		ctx:    ctx,
 		cancel: cancel,
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -183,6 +183,7 @@
 	d.advanceKeys()
 	partner, found := d.members.Partner(now)
 	d.refreshHolders()
+	d.updateFleetSize(now)
 	keep := d.keptPeers(now, partner.PeerAddress)
 	d.mu.Unlock()
 	d.lastTick.Store(now.UnixNano())
@@ -420,6 +421,7 @@
 // recomputeHolders computes the holders of all services for the alive hosts and
 // passes them to the pools with the current targets; d.mu is held.
 func (d *Daemon) recomputeHolders(alive []steer.Host) {
+	d.updateFleetSize(time.Now())
 	if d.adapter.Store != nil {
 		d.recomputeSteered(alive)
 		return
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -140,6 +140,7 @@
 	if result.answer != nil {
 		_ = result.answer.Body.Close()
 		outcome.Report = result.answer.Report
+		outcome.Limit = &result.answer.Limit
 	}
 	r.service.finish(r.id, result.attempt, outcome)
 }
@@ -298,7 +299,7 @@
 		return true, nil
 	}
 	if result.answer != nil {
-		r.service.noteLimit(result.target, result.answer.Limit, limitFromAnswer)
+		r.service.countLimit(result.target, result.answer.Limit, limitFromAnswer)
 	}
 	r.service.finish(r.id, result.attempt, outcome)
 	if verdictOf(result) != fault.NotRun {
@@ -323,6 +324,7 @@
 	outcome := choose.Outcome{Kind: choose.Answered, Latency: result.latency}
 	if result.answer != nil {
 		outcome.Report = result.answer.Report
+		outcome.Limit = &result.answer.Limit
 	}
 	switch {
 	case result.err != nil:
--- a/internal/entry/requestlog.go
+++ b/internal/entry/requestlog.go
@@ -22,6 +22,7 @@
 		slog.Int64("SlowdownAgeMillis", grant.SlowdownAge.Milliseconds()),
 		slog.Int("Usable", grant.UsableTargets),
 		slog.Int("Open", grant.OpenTargets),
+		slog.Int("Limited", grant.LimitedTargets),
 		slog.Float64("SaturationSlowdown", grant.SaturationSlowdown),
 		slog.Int64("BestMillis", grant.BestLatency.Milliseconds()),
 		slog.Int64("WaitedMillis", grant.Waited.Milliseconds()),
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -65,9 +66,11 @@
 	lastHousekeeping time.Time
 	// poolDocument is a copy of document for code that holds only mu.
 	poolDocument spec.Document
-	// lastNamed is what each target last stated about its limit, without targets that state
-	// nothing.
-	lastNamed map[string]limit.Named
+	// limitWarnedAt is when the last warning about an unusual limit of each target was logged.
+	limitWarnedAt map[string]time.Time
+
+	// limitsInForce is the number of targets that name a limit.
+	limitsInForce atomic.Int64
 }
 
 type serviceMetrics struct {
@@ -78,8 +81,9 @@
 	refusals *metrics.Counter
 	probes   *metrics.Counter
 	// limitedAnswers and limitedProbes count the answers to requests and to probes in which
-	// a target named a limit, and unusableLimits those with an unusable one.
-	limitedAnswers, limitedProbes, unusableLimits *metrics.Counter
+	// a target named a usable limit, and unusualLimits those with one that was unusable or
+	// was replaced by a bound.
+	limitedAnswers, limitedProbes, unusualLimits *metrics.Counter
 	// waited is the time from the arrival of a request to the grant of the attempt that
 	// won, target the latency of that attempt, and total the time from the arrival to
 	// the end of the answer, all in seconds.
@@ -97,7 +101,7 @@
 		waited: histogram("waited"), target: histogram("target"), total: histogram("total"),
 		requests: counter("requests"), retries: counter("retries"), hedges: counter("hedges"), rescues: counter("rescues"),
 		refusals: counter("refusals"), probes: counter("probes"),
-		limitedAnswers: counter("limited_answers"), limitedProbes: counter("limited_probes"), unusableLimits: counter("unusable_limits"),
+		limitedAnswers: counter("limited_answers"), limitedProbes: counter("limited_probes"), unusualLimits: counter("unusual_limits"),
 	}
 }
 
@@ -115,9 +119,11 @@
 		decisions:    make(map[uint64]chan decision),
 		probeBudgets: make(map[string]*budget.Share),
 		ejected:      make(map[string]bool),
-		lastNamed:    make(map[string]limit.Named),
+
+		limitWarnedAt: make(map[string]time.Time),
 	}
 	s.client = target.NewClient(s.limits, d.adapter.TargetProtocol)
+	d.metrics.GetOrCreateGauge(fmt.Sprintf("curranttiller_service_limits_in_force{service=%q}", name), func() float64 { return float64(s.limitsInForce.Load()) })
 	return s
 }
 
@@ -200,9 +206,12 @@
 		held[t.Name] = true
 	}
 	usesSpares := s.document.Policy == spec.PolicyHeld || s.document.Policy == spec.PolicySpeed
+	isHolder := s.daemon.isHolder(s)
 	for i := range targets {
 		targets[i].Spare = usesSpares && !held[targets[i].Name]
+		targets[i].OwnsLimit = isHolder && held[targets[i].Name]
 	}
+	s.pool.SetFleetSize(s.daemon.knownHosts, s.daemon.reachedHosts)
 	s.pool.SetSharingHosts(steer.SharingHostCount(holders, s.daemon.settings.FailureDomain))
 	s.deliverActions(s.pool.SetTargets(now, targets))
 }
@@ -257,7 +266,9 @@
 func (s *service) finish(id uint64, attempt int, outcome choose.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.deliverActions(s.pool.Finish(time.Now(), id, attempt, outcome))
+	now := time.Now()
+	s.deliverActions(s.pool.Finish(now, id, attempt, outcome))
+	s.announceLimitChanges(now, limitFromAnswer)
 }
 
 // retry requests another attempt from the pool and reports whether it is allowed.
@@ -316,6 +327,7 @@
 		s.lastHousekeeping = now
 		s.client.CloseExpired(now)
 		s.recordEjections(now)
+		s.countLimits(now)
 	}
 	var due []string
 	for _, name := range s.pool.Probes(now) {
@@ -355,11 +367,17 @@
 	s.ejected = ejected
 }
 
-// probeFinished passes the result of a probe to the pool; a nil report means that it failed.
-func (s *service) probeFinished(name string, report *choose.Report) {
+// probeFinished passes the result of a probe to the pool. A nil report means that it
+// failed, and named is nil without an answer.
+func (s *service) probeFinished(name string, sent time.Time, report *choose.Report, named *limit.Named) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.deliverActions(s.pool.Probed(time.Now(), name, report))
+	now := time.Now()
+	if named != nil {
+		s.pool.ProbedLimit(now, name, sent, *named)
+	}
+	s.deliverActions(s.pool.Probed(now, name, report))
+	s.announceLimitChanges(now, limitFromProbe)
 }
 
 func (s *service) close() {
--- a/internal/entry/timers.go
+++ b/internal/entry/timers.go
@@ -94,12 +94,13 @@
 	}
 	d.counters.probes.Inc()
 	s.metrics.probes.Inc()
+	sent := time.Now()
 	report, named := client.Probe(d.ctx, s.name, address, name, probeTimeout)
 	if named != nil {
-		s.noteLimit(name, *named, limitFromProbe)
+		s.countLimit(name, *named, limitFromProbe)
 	}
 	if report == nil {
 		d.events.Add(event.Event{Kind: "ProbeFailed", Service: s.name, Target: name})
 	}
-	s.probeFinished(name, report)
+	s.probeFinished(name, sent, report, named)
 }
--- a/pkg/choose/observation.go
+++ b/pkg/choose/observation.go
@@ -35,10 +35,11 @@
 	var names []string
 	for i := range probed {
 		s := p.held[(first+i)%len(p.held)]
-		if s.Leaving || s.estimate.probePending || now.Sub(s.estimate.slowdownAt) < p.settings.QuietAfter {
+		if s.Leaving || s.estimate.probePending || now.Sub(s.estimate.slowdownAt) < p.settings.QuietAfter || !p.limitAllowsProbe(now, s) {
 			continue
 		}
 		s.estimate.probePending = true
+		p.spendLimit(now, s)
 		names = append(names, s.Name)
 	}
 	return names
@@ -150,7 +151,8 @@
 	}
 	var names []string
 	for _, s := range p.targets {
-		if !s.Spare && !s.Leaving && s.inFlight == 0 && now.Sub(s.lastContact) > p.settings.QuietAfter {
+		if !s.Spare && !s.Leaving && s.inFlight == 0 && now.Sub(s.lastContact) > p.settings.QuietAfter && p.limitAllowsProbe(now, s) {
+			p.spendLimit(now, s)
 			names = append(names, s.Name)
 		}
 	}
--- a/pkg/choose/policy.go
+++ b/pkg/choose/policy.go
@@ -31,24 +31,24 @@
 // usable lists the targets that may get the request. Targets already tried are left
 // out while others remain. Spares are listed only if no held target is left. Ejected
 // targets, and those on trial that may not get the request, are listed only if nothing
-// else is left.
+// else is left. Targets whose limit allows no request now are never listed.
 func (p *Pool) usable(now time.Time, r *pending) []*targetState {
 	includesSpares := p.settings.Policy == spec.PolicySpeed
 	preferred := p.filter(func(s *targetState) bool {
-		return (includesSpares || !s.Spare) && s.acceptsWork(now) && s.allows(r) && !r.hasTried(s.Name)
+		return (includesSpares || !s.Spare) && p.maySend(now, s) && s.allows(r) && !r.hasTried(s.Name)
 	})
 	if len(preferred) > 0 {
 		return preferred
 	}
-	untried := p.filter(func(s *targetState) bool { return s.acceptsWork(now) && s.allows(r) && !r.hasTried(s.Name) })
+	untried := p.filter(func(s *targetState) bool { return p.maySend(now, s) && s.allows(r) && !r.hasTried(s.Name) })
 	if len(untried) > 0 {
 		return untried
 	}
-	all := p.filter(func(s *targetState) bool { return s.acceptsWork(now) && s.allows(r) })
+	all := p.filter(func(s *targetState) bool { return p.maySend(now, s) && s.allows(r) })
 	if len(all) > 0 {
 		return all
 	}
-	return p.filter(func(s *targetState) bool { return !s.Leaving && !s.draining })
+	return p.filter(func(s *targetState) bool { return !s.Leaving && !s.draining && p.limitAllows(now, s) })
 }
 
 // allows reports whether a target may get the request while others are usable. A target
--- a/pkg/choose/pool.go
+++ b/pkg/choose/pool.go
@@ -138,6 +138,13 @@
 	// usedByHost holds for each other host the targets at which it last reported
 	// requests in flight.
 	usedByHost map[string][]*targetState
+	// limited are the targets that name a limit or have named one recently.
+	limited []*targetState
+	// limitChanges are the changes of limits since the last call of TakeLimitChanges.
+	limitChanges []TargetLimit
+	// knownHosts is the number of entry hosts that this host knows, itself included, and
+	// aliveHosts is the number of those that are alive.
+	knownHosts, aliveHosts int
 	// otherDomainUsedAt is when a request was last sent to a target in another failure domain.
 	otherDomainUsedAt time.Time
 }
@@ -160,6 +167,8 @@
 		meanSlowdown:       1,
 		saturationSlowdown: 1,
 		sharingHosts:       1,
+		knownHosts:         1,
+		aliveHosts:         1,
 		usedByHost:         make(map[string][]*targetState),
 	}
 	p.extraBudget = budget.NewRetryBudget(settings.ExtraAttemptShare, p.extraAttemptBurst())
@@ -209,6 +218,7 @@
 		s.removed = byName[s.Name] != s
 	}
 	p.byName = byName
+	p.limited = slices.DeleteFunc(p.limited, func(s *targetState) bool { return s.removed })
 	p.hadTargets = p.hadTargets || len(targets) > 0
 	p.targets = next
 	p.recountTargets()
@@ -272,6 +282,9 @@
 	if p.settings.Policy == spec.PolicySpeed {
 		return p.arriveBySpeed(now, r)
 	}
+	if refusal, isRefused := p.refuseByLimit(now, r, p.waiting.len()); isRefused {
+		return Actions{Refusals: []Refusal{refusal}}
+	}
 	if maxWait := p.maxWait(now, r); p.waiting.len() > 0 && p.expectedWait() > maxWait {
 		return refuse(request.ID, ReasonQueueFull)
 	}
@@ -331,7 +344,7 @@
 	if p.settings.Policy == spec.PolicySpeed {
 		return p.dispatchBySpeed(now)
 	}
-	var actions Actions
+	actions := p.expireByLimit(now)
 	for r := p.waiting.first(); r != nil; r = p.waiting.first() {
 		if !now.Add(p.latencies.median / 2).Before(r.Deadline) {
 			p.waiting.remove(r.ID)
@@ -352,6 +365,7 @@
 // grant records an attempt of a request at a target and returns its grant.
 func (p *Pool) grant(now time.Time, r *pending, target *targetState, cause string) Grant {
 	target.startAttempt(now)
+	p.spendLimit(now, target)
 	p.inFlight++
 	p.markObserved(target)
 	p.grants++
--- a/pkg/choose/speed.go
+++ b/pkg/choose/speed.go
@@ -75,35 +75,43 @@
 // comparison holds the targets that accept work during one dispatch.
 type comparison struct {
 	candidates []candidate
+	// limited is the number of targets that are left out because of their limits.
+	limited int
 	// byClass caches one choice for each class until the next grant. Only requests that have no
 	// attempt yet use it.
 	byClass map[string]choice
 }
 
-// compare returns the targets that accept work. If there are none, ejected ones are
-// included.
+// compare returns the targets that accept work and whose limits allow it. If none accepts
+// work, ejected ones are included.
 func (p *Pool) compare(now time.Time) comparison {
 	c := comparison{candidates: p.candidates[:0], byClass: p.choices}
 	clear(c.byClass)
+	p.addCandidates(now, &c, func(s *targetState) bool { return s.acceptsWork(now) })
+	if len(c.candidates)+c.limited == 0 {
+		p.addCandidates(now, &c, func(s *targetState) bool { return !s.Leaving && !s.draining })
+	}
+	p.candidates = c.candidates
+	return c
+}
+
+// addCandidates adds the targets for which accepts returns true.
+func (p *Pool) addCandidates(now time.Time, c *comparison, accepts func(s *targetState) bool) {
 	for _, s := range p.targets {
-		if s.acceptsWork(now) {
+		switch {
+		case !accepts(s):
+		case p.limitAllows(now, s):
 			c.candidates = append(c.candidates, p.candidate(now, s))
+		default:
+			c.limited++
 		}
 	}
-	if len(c.candidates) == 0 {
-		for _, s := range p.targets {
-			if !s.Leaving && !s.draining {
-				c.candidates = append(c.candidates, p.candidate(now, s))
-			}
-		}
-	}
-	p.candidates = c.candidates
-	return c
 }
 
 func (p *Pool) candidate(now time.Time, s *targetState) candidate {
 	occupancy := s.occupancy(now)
-	return candidate{targetState: s, forecast: p.forecast(now, s, occupancy), open: p.isOpen(s, occupancy)}
+	isOpen := p.isOpen(s, occupancy) && p.limitAllows(now, s)
+	return candidate{targetState: s, forecast: p.forecast(now, s, occupancy), open: isOpen}
 }
 
 // open returns the number of targets that can start a request at once.
@@ -129,6 +137,8 @@
 	// usable counts the targets that may get the request, and open those of them that can start it
 	// at once.
 	usable, open int
+	// limited counts the targets that are left out because of their limits.
+	limited int
 }
 
 // choose returns the choice for a request. Requests without attempts share the choice of
@@ -157,7 +167,7 @@
 }
 
 func (c *comparison) chooseAmong(work time.Duration, allows func(s *candidate) bool) choice {
-	var chosen choice
+	chosen := choice{limited: c.limited}
 	for i := range c.candidates {
 		s := &c.candidates[i]
 		if !allows(s) {
@@ -195,6 +205,9 @@
 // it late or no target could meet its deadline.
 func (p *Pool) arriveBySpeed(now time.Time, r *pending) Actions {
 	r.spent = p.spentBefore(r)
+	if refusal, isRefused := p.refuseByLimit(now, r, p.waitingBefore(r)); isRefused {
+		return Actions{Refusals: []Refusal{refusal}}
+	}
 	if wait := p.queueingDelay(now, r); wait > 0 && p.becomesLate(now, wait, r) {
 		if p.canMeetObjective(now, r) {
 			p.contendedAt = now
@@ -211,7 +224,8 @@
 
 // queueingDelay estimates the time until r gets a slot. It divides the work of the waiting
 // requests that go before r by the measured grant rate, but by no more than this host's share
-// of the slots of fast targets and by no less than minGrantRateShare of that share.
+// of the slots of fast targets and by no less than minGrantRateShare of that share. Targets
+// that name a limit count as the part of a slot that the limit lets this host use.
 func (p *Pool) queueingDelay(now time.Time, r *pending) time.Duration {
 	if p.waiting.len() == 0 {
 		return 0
@@ -222,13 +236,21 @@
 			ahead += p.fastLatency(other)
 		}
 	}
-	slots := 0
+	slots, limitedSlots := 0, 0.0
 	for _, s := range p.targets {
-		if !s.Leaving && !s.draining && s.estimate.expectedSlowdown(now, p.meanSlowdown) <= fastSlowdown {
+		switch {
+		case s.Leaving || s.draining || s.estimate.expectedSlowdown(now, p.meanSlowdown) > fastSlowdown:
+		case s.hasLimit():
+			_, perSecond := s.limiter.Supply(now, p.limitRole(s))
+			limitedSlots += min(perSecond*p.work(r).Seconds(), float64(p.usefulSlots(s)))
+		default:
 			slots += p.usefulSlots(s)
 		}
 	}
-	rate := float64(max(slots, 1)) / float64(max(p.sharingHosts, 1))
+	rate := float64(slots)/float64(max(p.sharingHosts, 1)) + limitedSlots
+	if rate == 0 {
+		rate = 1 / float64(max(p.sharingHosts, 1))
+	}
 	measured := p.grantedWork.availableTo(now, r.Priority)
 	return time.Duration(float64(ahead) / max(min(rate, measured), minGrantRateShare*rate))
 }
@@ -347,6 +369,7 @@
 	grant := p.grant(now, r, chosen.target.targetState, cause)
 	grant.UsableTargets = chosen.usable
 	grant.OpenTargets = chosen.open
+	grant.LimitedTargets = chosen.limited
 	grant.BestLatency = chosen.best
 	grant.SaturationSlowdown = p.saturationSlowdown
 	grant.ExpectedLatency = chosen.latency
@@ -377,9 +400,10 @@
 }
 
 // expireBySpeed refuses the waiting requests that no target could answer before their
-// deadline. While others can still meet their objective, it refuses late ones too.
+// deadline, and those that are late because of the limits of all targets. While others can
+// still meet their objective, it refuses late ones too.
 func (p *Pool) expireBySpeed(now time.Time) Actions {
-	var actions Actions
+	actions := p.expireByLimit(now)
 	timely := 0
 	for r := range p.waiting.all {
 		if p.canMeetObjective(now, r) {
--- a/pkg/choose/target.go
+++ b/pkg/choose/target.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"gitlab.com/curranttiller/curranttiller/pkg/limit"
 )
 
 const (
@@ -78,6 +80,8 @@
 	removed, observed bool
 
 	estimate targetEstimate
+	// limiter is nil until the target names a limit.
+	limiter *limit.Limiter
 }
 
 func newTargetState(t Target, limit int, now time.Time) *targetState {
--- a/pkg/choose/types.go
+++ b/pkg/choose/types.go
@@ -1,6 +1,10 @@
 package choose
 
-import "time"
+import (
+	"time"
+
+	"gitlab.com/curranttiller/curranttiller/pkg/limit"
+)
 
 // Settings are the policy and the limits of a pool. Most of them come from the configuration document of the service.
 type Settings struct {
@@ -47,6 +51,10 @@
 	// Spare marks a target that another entry host holds and probes. The policy Speed
 	// uses spares at a small penalty, the others only if no held target is usable.
 	Spare bool
+	// OwnsLimit marks a target that gets most of the requests that a limit of its own allows
+	// from this entry host. The hosts that agree about which of them are alive must agree
+	// about the host that owns the limit of a target.
+	OwnsLimit bool
 	// Slots is the number of requests that this target works on at once; zero means Settings.Slots.
 	// The policy Held never uses more than Settings.Slots.
 	Slots int
@@ -109,6 +117,9 @@
 	// UsableTargets is the number of targets that may get the request, busy ones included,
 	// and OpenTargets is the number of those that could start it at once.
 	UsableTargets, OpenTargets int
+	// LimitedTargets is the number of targets that may not get the request now, because they
+	// name a limit.
+	LimitedTargets int
 	// BestLatency is the lowest expected latency of all usable targets.
 	BestLatency time.Duration
 	// SaturationSlowdown is the factor by which work takes longer at targets with all slots busy.
@@ -184,6 +195,8 @@
 	Latency time.Duration
 	// Report is nil if the target sent no report.
 	Report *Report
+	// Limit is what the answer states about the target's limit; nil without an answer.
+	Limit *limit.Named
 }
 
 // CauseHedge is the beginning of Grant.Cause in the grant of a hedge that Pool.Hedge returns.
@@ -193,6 +206,9 @@
 const (
 	// ReasonQueueFull means that the wait for a slot would be or has become too long.
 	ReasonQueueFull = "QueueFull"
+	// ReasonLimitReached means that all usable targets name limits, and that the request would
+	// be late if it waited until one of them may get it.
+	ReasonLimitReached = "LimitReached"
 	// ReasonNoTarget means that all targets are leaving or draining, or that there are none.
 	ReasonNoTarget = "NoTarget"
 	// ReasonDeadline means that an answer before the deadline is unlikely. The deadline need not have passed.
--- a/pkg/limit/named.go
+++ b/pkg/limit/named.go
@@ -1,18 +1,23 @@
 package limit
 
 import (
+	"math"
 	"strconv"
 	"strings"
 )
 
 const (
 	// MinPerSecond is the lowest limit that is kept. A target with a limit of zero gets
-	// this many requests a second, because only an answer shows that its limit has ended.
-	MinPerSecond = 1.0 / 60
+	// this many requests a second, one a minute, because only an answer shows that its limit
+	// has ended.
+	MinPerSecond = 0.016
 	// MaxPerSecond is the highest limit that is kept. Higher ones are cut to it.
 	MaxPerSecond = 1e6
 	// maxTextBytes is the length to which the text of a statement is cut.
 	maxTextBytes = 64
+	// milli is the number of parts of a request a second to which limits are rounded, so
+	// that hosts can exchange them without a loss.
+	milli = 1000
 )
 
 // Named is what one answer of a target states about its limit.
@@ -28,8 +33,8 @@
 }
 
 // Parse parses a limit, a decimal number of requests a second. An empty text states no
-// limit. Zero counts as MinPerSecond. Numbers below MinPerSecond and above MaxPerSecond
-// count as these bounds. Any other text is unusable.
+// limit. Numbers are rounded to three decimals. Those below MinPerSecond, zero included,
+// and above MaxPerSecond count as these bounds. Any other text is unusable.
 func Parse(text string) Named {
 	text = strings.TrimSpace(text)
 	if text == "" {
@@ -46,7 +51,7 @@
 	case perSecond > MaxPerSecond:
 		return Named{PerSecond: MaxPerSecond}.withProblem("above the highest limit", text)
 	default:
-		return Named{PerSecond: perSecond}
+		return Named{PerSecond: math.Round(perSecond*milli) / milli}
 	}
 }
 
