limit: let the owner use 0.7 of a limit

What callers saw: with limits on all targets, requests are refused although the limits would allow more of them.

Cause and change: the owner's part was lower than the rule needs. Two owners at once and all other hosts may send 1.5 times the limit: twice 0.7 and 0.1.

--- a/pkg/limit/limiter.go
+++ b/pkg/limit/limiter.go
@@ -4,9 +4,9 @@
 
 const (
 	// ownerShare is the part of the limit that its owner may use, and othersShare the part
-	// of all other hosts together. Two owners at the same time and the other hosts send less
-	// than 1.5 times the limit.
-	ownerShare  = 0.65
+	// of all other hosts together. Two owners at the same time and the other hosts send no
+	// more than 1.5 times the limit.
+	ownerShare  = 0.7
 	othersShare = 0.1
 	// ownerBurst is the number of requests that the owner may send at once after a pause.
 	ownerBurst = 2
@@ -134,8 +134,9 @@
 	}
 }
 
-// Supply returns the number of requests that this host may send now, and how many more it
-// may send each second. Both are zero without a limit in force.
+// Supply returns the number of requests that this host may send now, of which only whole
+// ones can be sent, and how many more it may send each second. Both are zero without a limit
+// in force.
 func (l *Limiter) Supply(now time.Time, role Role) (ready, perSecond float64) {
 	if !l.state.IsInForce() {
 		return 0, 0
