choose: replay limits of targets, and count only whole requests as allowed

What callers saw: with limits on all targets, some requests waited until they were late and were refused then, although no target was allowed one in time.

Cause: the parts of a request that many targets have saved were added up, so that a request seemed to be allowed at once when no target had a whole one.

--- a/pkg/choose/limits.go
+++ b/pkg/choose/limits.go
@@ -1,6 +1,7 @@
 package choose
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -131,8 +132,9 @@
 // limitSupply is what the limits of targets allow if every usable target names one.
 type limitSupply struct {
 	// ready is the number of requests that this host may send now, and perSecond how many
-	// more it may send each second.
-	ready, perSecond float64
+	// more it may send each second. fraction is the mean of what the targets have saved for
+	// the next request.
+	ready, perSecond, fraction float64
 	// fleetPerSecond is the number of requests a second that all hosts may send.
 	fleetPerSecond float64
 	// unlimitedIn is the time until the ejection of a target without a limit ends; negative
@@ -146,13 +148,17 @@
 	if len(p.limited) == 0 {
 		return supply, false
 	}
+	count := 0
 	for _, s := range p.targets {
 		switch {
 		case s.Leaving || s.draining:
 		case s.hasLimit():
 			ready, perSecond := s.limiter.Supply(now, p.limitRole(s))
-			supply.ready += max(ready, 0)
+			whole, fraction := math.Modf(max(ready, 0))
+			count++
+			supply.ready += whole
 			supply.perSecond += perSecond
+			supply.fraction += (fraction - supply.fraction) / float64(count)
 			supply.fleetPerSecond += s.limiter.State().PerSecond
 		case s.isEjected(now):
 			if in := s.ejectedUntil.Sub(now); supply.unlimitedIn < 0 || in < supply.unlimitedIn {
@@ -172,7 +178,7 @@
 		return 0
 	}
 	wait := maxLimitWait
-	if seconds := missing / s.perSecond; seconds < maxLimitWait.Seconds() {
+	if seconds := (missing - s.fraction) / s.perSecond; seconds < maxLimitWait.Seconds() {
 		wait = time.Duration(seconds * float64(time.Second))
 	}
 	if s.unlimitedIn >= 0 {
--- a/pkg/choose/replay_test.go
+++ b/pkg/choose/replay_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"gitlab.com/curranttiller/curranttiller/pkg/choose"
+	"gitlab.com/curranttiller/curranttiller/pkg/limit"
 	"gitlab.com/curranttiller/curranttiller/pkg/spec"
 )
 
@@ -42,6 +43,15 @@
 	// lost is the share of answers that never arrive, and shed the share of attempts that targets
 	// decline even with slots free.
 	lost, shed float64
+	// limit is the number of requests a second that the first limited targets take from all
+	// hosts together, from limitFrom to limitTo. All hosts are told by the answers.
+	limit              float64
+	limited            int
+	limitFrom, limitTo time.Duration
+	// ignoresLimits makes the hosts ignore the limits.
+	ignoresLimits bool
+	// disturb is called every 100 ms and may change the state of hosts and targets.
+	disturb func(s *simulation)
 	// load multiplies the arrival rates during length.
 	load    float64
 	length  time.Duration
@@ -114,7 +124,7 @@
 func replay(w workload, seed uint64) *simulation {
 	s := &simulation{workload: w, rng: rand.New(rand.NewPCG(seed, 7)), byName: make(map[string]*simTarget), results: make(map[string]*classResult)}
 	for i := range w.targets {
-		t := &simTarget{sim: s, name: fmt.Sprintf("t%03d", i), domain: fmt.Sprintf("d%d", i%w.domains)}
+		t := &simTarget{sim: s, index: i, name: fmt.Sprintf("t%03d", i), domain: fmt.Sprintf("d%d", i%w.domains)}
 		s.targets = append(s.targets, t)
 		s.byName[t.name] = t
 		t.redrawSpeed(time.Duration(s.rng.Float64() * float64(w.period)))
@@ -127,6 +137,9 @@
 		s.results[class.name] = &classResult{}
 		s.arrivals(class)
 	}
+	if w.disturb != nil {
+		s.repeatDisturbance()
+	}
 	for len(s.queue) > 0 && s.now < w.length+3*time.Second {
 		next := heap.Pop(&s.queue).(event)
 		s.now = next.at
@@ -135,6 +148,20 @@
 	return s
 }
 
+func (s *simulation) repeatDisturbance() {
+	s.workload.disturb(s)
+	s.schedule(100*time.Millisecond, s.repeatDisturbance)
+}
+
+// named is what a target states about its limit.
+func (t *simTarget) named() *limit.Named {
+	w := &t.sim.workload
+	if t.index >= w.limited || t.sim.now < w.limitFrom || t.sim.now >= w.limitTo || w.ignoresLimits {
+		return &limit.Named{}
+	}
+	return &limit.Named{PerSecond: w.limit}
+}
+
 func (s *simulation) total() classResult {
 	var all classResult
 	for _, result := range s.results {
@@ -225,6 +252,10 @@
 	domain   string
 	pool     *choose.Pool
 	requests map[uint64]*simRequest
+	// isCut says that the host exchanges nothing with the others, and frozenUntil is when it
+	// runs again.
+	isCut       bool
+	frozenUntil time.Duration
 }
 
 // simRequest is a request at a host.
@@ -244,35 +275,57 @@
 		BusyShare: 0.9, QuietAfter: 100 * time.Millisecond, FailureDomain: h.domain, ChargeRescues: true,
 	}, uint64(index), testStart)
 	h.pool.SetSharingHosts(s.workload.hosts)
+	h.setView(index, s.workload.hosts, s.workload.hosts)
+	s.schedule(time.Duration(index)*3*time.Millisecond, h.tick)
+	s.schedule(time.Duration(index)*5*time.Millisecond, h.sendObservations)
+	return h
+}
+
+// setView sets the targets of a host. It holds those of the host with the given index, and
+// knows a number of hosts of which some are alive.
+func (h *simHost) setView(index, known, alive int) {
+	s := h.sim
+	h.pool.SetFleetSize(known, alive)
 	targets := make([]choose.Target, 0, len(s.targets))
 	perDomain := max(s.workload.hosts/s.workload.domains, 1)
 	for i, t := range s.targets {
 		isHeld := t.domain == h.domain && (i/s.workload.domains)%perDomain == index/s.workload.domains%perDomain
-		targets = append(targets, choose.Target{Name: t.name, FailureDomain: t.domain, Slots: s.workload.slots, Spare: !isHeld})
+		targets = append(targets, choose.Target{Name: t.name, FailureDomain: t.domain, Slots: s.workload.slots, Spare: !isHeld, OwnsLimit: i%s.workload.hosts == index || alive == 1})
 	}
-	h.pool.SetTargets(testStart, targets)
-	s.schedule(time.Duration(index)*3*time.Millisecond, h.tick)
-	s.schedule(time.Duration(index)*5*time.Millisecond, h.sendObservations)
-	return h
+	h.apply(h.pool.SetTargets(s.clock(), targets))
 }
 
 func (h *simHost) tick() {
+	if h.sim.now < h.frozenUntil {
+		h.sim.schedule(h.frozenUntil-h.sim.now, h.tick)
+		return
+	}
 	h.apply(h.pool.Tick(h.sim.clock()))
 	for _, name := range h.pool.Probes(h.sim.clock()) {
 		t := h.sim.byName[name]
+		t.arrivals = append(t.arrivals, h.sim.now)
+		sent := h.sim.clock()
 		h.sim.schedule(2*h.networkDelay(t), func() {
+			h.pool.ProbedLimit(h.sim.clock(), name, sent, *t.named())
 			h.apply(h.pool.Probed(h.sim.clock(), name, t.report()))
 		})
 	}
 	h.sim.schedule(20*time.Millisecond, h.tick)
 }
 
-// sendObservations sends the host's observations to all other hosts every 50 ms.
+// sendObservations sends the host's observations and the limits of targets to all other
+// hosts every 50 ms.
 func (h *simHost) sendObservations() {
-	observations := h.pool.Observations(h.sim.clock(), 100*time.Millisecond)
+	now := h.sim.clock()
+	observations := h.pool.Observations(now, 100*time.Millisecond)
+	limits := h.pool.Limits(now)
 	for _, other := range h.sim.hosts {
-		if other != h {
-			h.sim.schedule(time.Millisecond, func() { other.apply(other.pool.ReceiveObservations(other.sim.clock(), h.name, observations)) })
+		if other != h && !h.isCut && !other.isCut && h.sim.now >= h.frozenUntil {
+			h.sim.schedule(time.Millisecond, func() {
+				other.apply(other.pool.ReceiveObservations(other.sim.clock(), h.name, observations))
+				actions, _ := other.pool.ReceiveLimits(other.sim.clock(), limits)
+				other.apply(actions)
+			})
 		}
 	}
 	h.sim.schedule(50*time.Millisecond, h.sendObservations)
@@ -286,18 +339,22 @@
 }
 
 func (h *simHost) arrive(c *simCaller) {
-	limit := c.left()
+	if h.sim.now < h.frozenUntil {
+		h.sim.schedule(h.frozenUntil-h.sim.now, func() { h.arrive(c) })
+		return
+	}
+	timeLimit := c.left()
 	if c.class.limit > 0 {
-		limit = min(limit, c.class.limit)
+		timeLimit = min(timeLimit, c.class.limit)
 	}
-	if limit <= 0 {
+	if timeLimit <= 0 {
 		c.failed(false)
 		return
 	}
 	h.sim.nextID++
-	r := &simRequest{caller: c, id: h.sim.nextID, arrived: h.sim.now, deadline: h.sim.now + limit, attempts: make(map[int]*simAttempt)}
+	r := &simRequest{caller: c, id: h.sim.nextID, arrived: h.sim.now, deadline: h.sim.now + timeLimit, attempts: make(map[int]*simAttempt)}
 	h.requests[r.id] = r
-	h.sim.schedule(limit, func() { h.expire(r) })
+	h.sim.schedule(timeLimit, func() { h.expire(r) })
 	h.apply(h.pool.Arrive(h.sim.clock(), choose.Request{
 		ID: r.id, Idempotent: c.class.idempotent, Deadline: testStart.Add(r.deadline), Patience: c.left(), Class: c.class.name, Priority: c.class.priority, Objective: c.class.objective,
 	}))
@@ -410,11 +467,14 @@
 // simTarget is a target with slots and a queue.
 type simTarget struct {
 	sim     *simulation
+	index   int
 	name    string
 	domain  string
 	isSlow  bool
 	running []*simAttempt
 	waiting []*simAttempt
+	// arrivals are the times of requests and probes.
+	arrivals []time.Duration
 }
 
 // simAttempt is an attempt at a target.
@@ -444,6 +504,7 @@
 }
 
 func (t *simTarget) receive(attempt *simAttempt) {
+	t.arrivals = append(t.arrivals, t.sim.now)
 	switch {
 	case attempt.removed:
 	case t.sim.rng.Float64() < t.sim.workload.shed:
@@ -458,8 +519,10 @@
 }
 
 func (t *simTarget) decline(attempt *simAttempt) {
-	report := t.report()
-	t.sim.schedule(attempt.host.networkDelay(t), func() { attempt.host.finishAttempt(attempt, choose.Outcome{Kind: choose.Declined, Report: report}) })
+	report, named := t.report(), t.named()
+	t.sim.schedule(attempt.host.networkDelay(t), func() {
+		attempt.host.finishAttempt(attempt, choose.Outcome{Kind: choose.Declined, Report: report, Limit: named})
+	})
 }
 
 func (t *simTarget) start(attempt *simAttempt) {
@@ -479,8 +542,10 @@
 	if t.sim.rng.Float64() < t.sim.workload.lost {
 		return
 	}
-	report := t.report()
-	t.sim.schedule(attempt.host.networkDelay(t), func() { attempt.host.finishAttempt(attempt, choose.Outcome{Kind: choose.Answered, Report: report}) })
+	report, named := t.report(), t.named()
+	t.sim.schedule(attempt.host.networkDelay(t), func() {
+		attempt.host.finishAttempt(attempt, choose.Outcome{Kind: choose.Answered, Report: report, Limit: named})
+	})
 }
 
 func (t *simTarget) cancel(attempt *simAttempt) {
