stand, scenes, platform: targets that name limits in the load tool, soaks and scenes

Change: LimitRecord of package server keeps what a target names and gets, and finds the worst window. The stand-in target names a limit (Behaviour.Limit), its counters have OverLimit, and the load tool's totals count it as a violation.

--- a/internal/scenes/checks_test.go
+++ b/internal/scenes/checks_test.go
@@ -28,6 +28,8 @@
 	runs, err := load.FetchRunCounts(s.ctx, s.fleet.TargetAddresses(""))
 	ts.Check(err)
 	result.ComputeTotals(runs)
+	result.Totals.OverLimit, err = load.FetchOverLimit(s.ctx, s.fleet.TargetAddresses(""))
+	ts.Check(err)
 	s.results[args[0]] = result
 	ts.Logf("%s: %+v", args[0], result.Totals)
 	for reason, count := range countReasons(result) {
@@ -104,7 +106,7 @@
 
 // cmdStats checks the counters of a target. If the target is all, it checks the sums over
 // all targets. WorstWindow, the largest number of probes of a target within
-// budgetWindowMillis, and MostConnections are the maximum over the targets instead.
+// budgetWindowMillis, MostConnections and OverLimit are the maximum over the targets instead.
 // Example: stats reservas1 LateNew<=0
 func cmdStats(ts *testscript.TestScript, _ bool, args []string) {
 	s := sceneOf(ts)
@@ -116,6 +118,7 @@
 		stats, err := load.FetchJSON[server.Stats](s.ctx, t.DirectAddress, "/stats")
 		ts.Check(err)
 		sum["LateNew"] += float64(stats.LateNew)
+		sum["OverLimit"] = max(sum["OverLimit"], float64(stats.OverLimit))
 		sum["Probes"] += float64(stats.Probes)
 		sum["Runs"] += float64(stats.Runs)
 		sum["Requests"] += float64(stats.Requests)
--- a/internal/stand/load/run.go
+++ b/internal/stand/load/run.go
@@ -71,14 +71,17 @@
 	// FalseRan counts the non-idempotent operations that did not run although the
 	// verdict was that they ran.
 	FalseRan int
+	// OverLimit is the number of requests that a target got beyond what its limit allowed. It is
+	// set by the caller of ComputeTotals.
+	OverLimit int
 	// Resubmits counts the requests that the caller submitted more than once.
 	Resubmits int
 }
 
-// HasViolations reports whether a guarantee to callers was violated, by a wrong
-// response, a duplicate execution or a false verdict.
+// HasViolations reports whether a guarantee was violated, by a wrong response, a duplicate
+// execution, a false verdict or too many requests at a target that named a limit.
 func (t *Totals) HasViolations() bool {
-	return t.Wrong+t.RanTwice+t.FalseNot+t.FalseRan > 0
+	return t.Wrong+t.RanTwice+t.FalseNot+t.FalseRan+t.OverLimit > 0
 }
 
 // Result holds the outcomes of a plan's requests.
@@ -285,6 +288,20 @@
 	return all, nil
 }
 
+// FetchOverLimit returns the largest number of requests that one of the targets at the
+// addresses got beyond what its limit allowed.
+func FetchOverLimit(ctx context.Context, addresses []string) (int, error) {
+	most := 0
+	for _, address := range addresses {
+		stats, err := FetchJSON[server.Stats](ctx, address, "/stats")
+		if err != nil {
+			return 0, err
+		}
+		most = max(most, stats.OverLimit)
+	}
+	return most, nil
+}
+
 // FetchJSON sends a GET request and returns the decoded JSON of the response, whatever
 // its status is. It returns an error after 10 s.
 func FetchJSON[T any](ctx context.Context, address, path string) (T, error) {
--- a/internal/stand/server/target.go
+++ b/internal/stand/server/target.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"maps"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -60,6 +61,9 @@
 	// EndByClose sends responses without Content-Length, which end when the connection is closed.
 	// They have no load headers and no padding.
 	EndByClose bool
+	// Limit is the text of the Limit header of every response that carries the load headers;
+	// empty for none.
+	Limit string
 }
 
 // loadSample is the load of a target at one time.
@@ -76,6 +80,7 @@
 	serving         sync.WaitGroup
 	slots           chan struct{}
 	openConnections atomic.Int64
+	limit           LimitRecord
 
 	mu              sync.Mutex
 	behaviour       Behaviour
@@ -102,6 +107,9 @@
 	Refused int
 	// LateNew counts the requests received more than 3 s after draining began.
 	LateNew int
+	// OverLimit is the number of requests and probes beyond those allowed in the worst window
+	// while the target named a limit.
+	OverLimit int
 	// MostConnections is the largest number of connections that were open at once.
 	MostConnections int64
 	// ProbeUnixMillis are the times of the probes.
@@ -215,6 +223,7 @@
 	if err != nil {
 		return
 	}
+	t.limit.Add(r.Header.Get(OperationHeader))
 	behaviour, queued := t.enqueue()
 	if behaviour.FailFast {
 		t.dequeue(queued)
@@ -370,6 +379,9 @@
 	reported := t.reportedLoad()
 	w.Header().Set(header.Running, strconv.Itoa(reported.running))
 	w.Header().Set(header.Waiting, strconv.Itoa(reported.waiting))
+	if t.behaviour.Limit != "" {
+		w.Header().Set(header.Limit, t.behaviour.Limit)
+	}
 	if t.behaviour.Draining {
 		w.Header().Set(header.Draining, "true")
 	}
@@ -398,6 +410,7 @@
 // handleProbe answers a probe with the load headers. It occupies a slot, because a
 // probe takes processing time on a real server too.
 func (t *Target) handleProbe(w http.ResponseWriter, r *http.Request) {
+	t.limit.Add("")
 	t.mu.Lock()
 	t.stats.Probes++
 	t.stats.BusyProbeMillis += float64(t.options.ProbeServiceTime.Microseconds()) / 1000
@@ -431,6 +444,7 @@
 		t.drainingSince = time.Now()
 	}
 	t.behaviour = behaviour
+	t.limit.Name(behaviour.Limit)
 	t.schedule = noise.NewSchedule(behaviour.Noise, t.options.Name)
 	_, _ = io.WriteString(w, "{}")
 }
@@ -448,5 +462,8 @@
 	stats.Name = t.options.Name
 	stats.ProbeUnixMillis = append([]int64(nil), t.probeUnixMillis...)
 	t.mu.Unlock()
+	if worst, isExceeded := t.limit.WorstExcess(func(LimitArrival) bool { return true }); isExceeded {
+		stats.OverLimit = int(math.Ceil(float64(worst.Got) - worst.Allowed))
+	}
 	_ = json.NewEncoder(w).Encode(stats)
 }
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -156,7 +156,16 @@
 
 func changeTargetBehaviour(ctx context.Context, s *soak) func() {
 	behaviours := []server.Behaviour{
-		{FailFast: true}, {Draining: true}, {RefuseNew: true}, {LieZero: true}, {CutAfterRun: true}, {CutBody: true}, {EndByClose: true},
+		{FailFast: true},
+		{Draining: true},
+		{RefuseNew: true},
+		{LieZero: true},
+		{CutAfterRun: true},
+		{CutBody: true},
+		{EndByClose: true},
+		{Limit: "2"},
+		{Limit: "0"},
+		{Limit: "soon"},
 	}
 	t := s.randomTarget()
 	_ = s.fleet.SetBehaviour(ctx, t, &behaviours[s.rng.IntN(len(behaviours))])
@@ -204,6 +213,8 @@
 	plan := &load.Plan{
 		Service: serviceName, Rate: o.Rate, Duration: o.Duration, ReadFraction: 0.4, MeanServiceTime: meanServiceTime, Timeout: timeout, Seed: o.Seed,
 	}
+	// One target names a limit all the time unless it gets another behaviour.
+	_ = s.fleet.SetBehaviour(ctx, s.fleet.Targets[0], &server.Behaviour{Limit: "3"})
 	session := load.Start(ctx, client, plan, time.Now())
 	faultsEnd := time.Now().Add(o.Duration - recoveryTime)
 	kinds := faults()
@@ -241,14 +252,17 @@
 		return err
 	}
 	result.ComputeTotals(runs)
+	if result.Totals.OverLimit, err = load.FetchOverLimit(ctx, s.fleet.TargetAddresses("")); err != nil {
+		return err
+	}
 	for _, kind := range faults() {
 		fmt.Fprintf(out, "%-22s %d\n", kind.name, s.faultCounts[kind.name])
 	}
 	t := &result.Totals
 	fmt.Fprintf(out, "%d requests: %d answered, %d not run, %d may have run, %d failed; resubmitted %d\n",
 		t.Requests, t.Answered, t.NotRun, t.MayHave, t.Failed, t.Resubmits)
-	fmt.Fprintf(out, "wrong or truncated answers accepted %d, run twice %d, reported as not run but ran %d, reported as ran but did not %d, without an outcome %d\n",
-		t.Wrong, t.RanTwice, t.FalseNot, t.FalseRan, t.Requests-t.Answered-t.NotRun-t.MayHave-t.Failed)
+	fmt.Fprintf(out, "wrong or truncated answers accepted %d, run twice %d, reported as not run but ran %d, reported as ran but did not %d, without an outcome %d, over the limit of a target %d\n",
+		t.Wrong, t.RanTwice, t.FalseNot, t.FalseRan, t.Requests-t.Answered-t.NotRun-t.MayHave-t.Failed, t.OverLimit)
 	for reason, count := range result.ReasonCounts() {
 		fmt.Fprintf(out, "  %-40s %d\n", reason, count)
 	}
