--- a/internal/beacon/doc.go
+++ b/internal/beacon/doc.go
@@ -12,6 +12,7 @@
 //     flight there, the share of its requests and probes that fail, and the slowdown
 //     that the target reported. Peers can then rank targets by the load of all entry
 //     hosts.
+//   - what it knows of the limits that targets name for all entry hosts together.
 //   - which steered hosts are alive. Steered hosts are the entry hosts to which the
 //     directory, a lookup service of the load balancer, directs callers. In a large
 //     installation not all of them send beacons to each other. Only relays report
--- a/pkg/choose/doc.go
+++ b/pkg/choose/doc.go
@@ -70,6 +70,11 @@
 // It is not ejected for slow answers while a fifth or more of the targets are ejected,
 // because then the service as a whole is slow.
 //
+// A target may name a limit, the number of requests a second that it takes from all entry
+// hosts together. Package limit decides whether this host may send it an attempt or a probe.
+// Targets that it doesn't allow are left out of the choice. If all usable targets name
+// limits, requests that would be late by the time they are allowed are refused.
+//
 // # Policies
 //
 // The policy of the service determines which target a request is sent to:
