limit, choose: notice the end of low limits within seconds

A target that had named a limit of zero got no request in the six seconds and more after its limit had ended.

Cause: only an answer shows that a limit has ended. A limit of zero counted as one request a minute, of which the owner may send 0.7. A limited target without a recent report was avoided like one that cannot be reached, although it is hardly probed because of its limit. While it was ejected at its owner, a probe had to wait until two requests were saved.

Limited targets are not avoided for want of a report. An ejected target is probed as often as its limit allows.

--- a/internal/stand/server/limits.go
+++ b/internal/stand/server/limits.go
@@ -84,6 +84,16 @@
 	return l.text
 }
 
+// LastNamed returns the limit that the target named last; zero if it never named one.
+func (l *LimitRecord) LastNamed() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.periods) == 0 {
+		return 0
+	}
+	return l.periods[len(l.periods)-1].perSecond
+}
+
 // WorstExcess returns the window with the most requests beyond the allowed ones, and
 // whether there is one. counts says whether an arrival counts.
 func (l *LimitRecord) WorstExcess(counts func(LimitArrival) bool) (LimitExcess, bool) {
--- a/pkg/choose/forecast.go
+++ b/pkg/choose/forecast.go
@@ -81,7 +81,7 @@
 	if late := s.overdueRatio(now); late > overdueFactor {
 		f.penalty *= late / overdueFactor
 	}
-	if s.estimate.slowdownAge(now) > staleReportAge || p.lacksReport(s) {
+	if p.isReportStale(now, s) {
 		f.penalty *= staleReportPenalty
 	}
 	if s.FailureDomain != p.settings.FailureDomain {
@@ -93,6 +93,12 @@
 	return f
 }
 
+// isReportStale reports whether the slowdown of a target should be known but is not. A
+// target that names a limit gets too few probes to report it often.
+func (p *Pool) isReportStale(now time.Time, s *targetState) bool {
+	return !s.hasLimit() && (s.estimate.slowdownAge(now) > staleReportAge || p.lacksReport(s))
+}
+
 // lacksReport reports whether the slowdown of a target in another failure domain is
 // unknown although other targets report theirs.
 func (p *Pool) lacksReport(s *targetState) bool {
--- a/pkg/choose/limits.go
+++ b/pkg/choose/limits.go
@@ -35,7 +35,12 @@
 	return s.limiter == nil || s.limiter.Allows(now, p.limitRole(s))
 }
 
+// limitAllowsProbe reports whether the limit of a target allows a probe. An ejected target
+// gets no requests, so its probes need not leave anything to these.
 func (p *Pool) limitAllowsProbe(now time.Time, s *targetState) bool {
+	if s.isEjected(now) && s.OwnsLimit {
+		return p.limitAllows(now, s)
+	}
 	return s.limiter == nil || s.limiter.AllowsProbe(now, p.limitRole(s))
 }
 
--- a/pkg/choose/limits_test.go
+++ b/pkg/choose/limits_test.go
@@ -256,3 +256,30 @@
 	is.True(probes >= 5)
 	is.True(probes <= 20)
 }
+
+// TestEndOfLimitIsNoticedWhileEjected checks that the owner of the lowest limit probes an
+// ejected target as often as the limit allows, so that other hosts can use it again soon
+// after its limit has ended.
+func TestEndOfLimitIsNoticedWhileEjected(t *testing.T) {
+	is := is.New(t)
+	settings := speedSettings
+	settings.QuietAfter = 100 * time.Millisecond
+	pool := choose.New(settings, 1, testStart)
+	pool.SetTargets(testStart, []choose.Target{
+		{Name: "limited", FailureDomain: "a", Slots: 2, OwnsLimit: true}, {Name: "other", FailureDomain: "a", Slots: 2},
+	})
+	pool.Probed(testStart, "limited", &choose.Report{Slowdown: 1})
+	for i := range 12 {
+		pool.Probed(testStart.Add(time.Duration(i)*time.Second), "limited", nil) // ejected up to 30 s
+	}
+	start := testStart.Add(12 * time.Second)
+	pool.ReceiveLimits(start, []choose.TargetLimit{{Target: "limited", State: limit.State{PerSecond: limit.MinPerSecond, At: start}}})
+	for now := start; now.Sub(start) < 6*time.Second; now = now.Add(20 * time.Millisecond) {
+		for _, name := range pool.Probes(now) {
+			if name == "limited" {
+				return
+			}
+		}
+	}
+	is.Fail() // no probe within the 5.7 s that the limit allows
+}
--- a/pkg/limit/named.go
+++ b/pkg/limit/named.go
@@ -7,10 +7,9 @@
 )
 
 const (
-	// MinPerSecond is the lowest limit that is kept. A target with a limit of zero gets
-	// this many requests a second, one a minute, because only an answer shows that its limit
-	// has ended.
-	MinPerSecond = 0.016
+	// MinPerSecond is the lowest limit that is kept, one request in four seconds. Lower ones,
+	// zero included, count as this, because only an answer shows that a limit has ended.
+	MinPerSecond = 0.25
 	// MaxPerSecond is the highest limit that is kept. Higher ones are cut to it.
 	MaxPerSecond = 1e6
 	// maxTextBytes is the length to which the text of a statement is cut.
--- a/pkg/limit/named_test.go
+++ b/pkg/limit/named_test.go
@@ -20,6 +20,7 @@
 		{text: "3.4", perSecond: 3.4, isUsable: true},
 		{text: " 12 ", perSecond: 12, isUsable: true},
 		{text: "0.25", perSecond: 0.25, isUsable: true},
+		{text: "0.1", perSecond: limit.MinPerSecond, isUsable: true, hasProblem: true},
 		{text: "2.857142857", perSecond: 2.857, isUsable: true},
 		{text: "0", perSecond: limit.MinPerSecond, isUsable: true, hasProblem: true},
 		{text: "-0", perSecond: limit.MinPerSecond, isUsable: true, hasProblem: true},
