--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 SEEDS ?= 1-50
 SECONDS ?= 10
 JOBS ?= 3
+HOSTS ?= 4
 BENCH ?=
 SITES ?=
 
@@ -47,7 +48,7 @@
 	./bin/standin scale --program ./bin/curranttiller
 
 storesoak: build
-	SOAK_SEEDS=$(SEEDS) SOAK_SECONDS=$(SECONDS) go test -count=1 -parallel 3 -timeout 60m -run SoakOnStore -v ./platform
+	SOAK_SEEDS=$(SEEDS) SOAK_SECONDS=$(SECONDS) SOAK_HOSTS=$(HOSTS) go test -count=1 -parallel 3 -timeout 60m -run SoakOnStore -v ./platform
 
 # BENCH is the path of the users' bench, and SITES are deployments, one score after the other.
 regress: build
