entry: name what two functions for limits do

recordStatement counts what an answer states, updateLimitGauge the limits in force; both were called countLimit with or without an s. No change in behaviour; package entry builds and lints.

--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -32,9 +32,9 @@
 	limitBeaconsAfterChange = 3
 )
 
-// countLimit counts what an answer of a target states about its limit, and warns if that
+// recordStatement counts what an answer of a target states about its limit, and warns if that
 // is unusual.
-func (s *service) countLimit(target string, named limit.Named, source string) {
+func (s *service) recordStatement(target string, named limit.Named, source string) {
 	if named == (limit.Named{}) {
 		return
 	}
@@ -116,8 +116,8 @@
 	return limits
 }
 
-// countLimits updates the number of limits in force; s.mu is held.
-func (s *service) countLimits(now time.Time) {
+// updateLimitGauge counts the limits in force for the metric; s.mu is held.
+func (s *service) updateLimitGauge(now time.Time) {
 	inForce := int64(0)
 	for _, l := range s.pool.Limits(now) {
 		if l.State.IsInForce() {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -299,7 +299,7 @@
 		return true, nil
 	}
 	if result.answer != nil {
-		r.service.countLimit(result.target, result.answer.Limit, limitFromAnswer)
+		r.service.recordStatement(result.target, result.answer.Limit, limitFromAnswer)
 	}
 	r.service.finish(r.id, result.attempt, outcome)
 	if verdictOf(result) != fault.NotRun {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -327,7 +327,7 @@
 		s.lastHousekeeping = now
 		s.client.CloseExpired(now)
 		s.recordEjections(now)
-		s.countLimits(now)
+		s.updateLimitGauge(now)
 	}
 	var due []string
 	for _, name := range s.pool.Probes(now) {
--- a/internal/entry/timers.go
+++ b/internal/entry/timers.go
@@ -97,7 +97,7 @@
 	sent := time.Now()
 	report, named := client.Probe(d.ctx, s.name, address, name, probeTimeout)
 	if named != nil {
-		s.countLimit(name, *named, limitFromProbe)
+		s.recordStatement(name, *named, limitFromProbe)
 	}
 	if report == nil {
 		d.events.Add(event.Event{Kind: "ProbeFailed", Service: s.name, Target: name})
