entry, platform: log where requests are that a stopping host cuts

The log said only that connections with requests in flight were closed, so it could not tell whether these waited for a target, for a connection or for an answer, or were still arriving.

--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -214,6 +214,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	r.attempts[grant.Attempt] = &attempt{grant: grant, cancel: cancel}
 	r.running++
+	r.service.attemptsRunning.Add(1)
 	if grant.Attempt == 1 {
 		r.firstSentAt = time.Now()
 	}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -71,6 +71,8 @@
 
 	// limitsInForce is the number of targets that name a limit.
 	limitsInForce atomic.Int64
+	// attemptsRunning is the number of attempts that have not ended.
+	attemptsRunning atomic.Int64
 }
 
 type serviceMetrics struct {
@@ -264,6 +266,7 @@
 }
 
 func (s *service) finish(id uint64, attempt int, outcome choose.Outcome) {
+	s.attemptsRunning.Add(-1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gitlab.com/curranttiller/curranttiller/pkg/choose"
@@ -109,6 +110,9 @@
 	pooled   *http.Transport
 	unpooled *http.Transport
 
+	// unconnected is the number of attempts that wait for a connection.
+	unconnected atomic.Int64
+
 	mu    sync.Mutex
 	conns map[*trackedConn]bool
 }
@@ -172,6 +176,12 @@
 	return len(c.conns)
 }
 
+// UnconnectedAttempts returns the number of attempts that wait for a connection to their
+// target, because it is being established or as many as allowed are in use.
+func (c *Client) UnconnectedAttempts() int {
+	return int(c.unconnected.Load())
+}
+
 // CloseIdleSince closes the idle connections whose last answer ended at the time since
 // or earlier. A device on the path may have lost the state of these connections, so that
 // requests on them would get no answer. The transport may still assign such a connection
@@ -222,7 +232,10 @@
 	if request.NewConnection {
 		transport = c.unpooled
 	}
+	c.unconnected.Add(1)
+	track.onConnected = sync.OnceFunc(func() { c.unconnected.Add(-1) })
 	response, err := transport.RoundTrip(outgoing)
+	track.onConnected()
 	if err != nil {
 		return nil, track.classifyError(err)
 	}
@@ -250,10 +263,13 @@
 	conn *trackedConn
 	// writesBefore is the number of writes to conn before the attempt.
 	writesBefore uint64
+	// onConnected is called when the attempt gets a connection or has failed without one.
+	onConnected func()
 }
 
 func (t *tracker) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		t.onConnected()
 		if conn, ok := info.Conn.(*trackedConn); ok {
 			conn.setInUse()
 			t.conn = conn
