entry, choose, front, platform: a stopping host answers every request that it has read

Cause: the stop was only a time limit for http.Server.Shutdown. The pool kept and granted requests by their own deadlines, and the server then closed the connections of whatever was left, wherever it was: in the pool, waiting for a connection, in the queue of a target or with a body that still arrived.

Change: the pool knows the end of the stop and refuses what would outlast it, on arrival, in the queue, and as a retry, hedge or rescue. After the hold time only requests whose deadline passes in time are taken. Attempts carry the shorter deadline, so that targets decline what they still queue. At the end the rest are answered: 503 if every attempt ended without a byte sent, otherwise 502.

--- a/internal/cmds/entry.go
+++ b/internal/cmds/entry.go
@@ -38,7 +38,7 @@
 	return &command{
 		name:        entryName,
 		about:       "Runs the daemon of an entry host until SIGTERM.",
-		detail:      "On SIGTERM or SIGINT the host removes itself from the directory, accepts requests as long as callers may still use its address, waits a limited time for the requests in flight and exits with code 0. If one of these signals arrives again while the host still accepts requests, the host cuts the requests in flight and stops. On SIGHUP the host reads the settings file again and logs whether it is valid. Changed settings apply from the next start. Without an argument, the environment variable " + settingsVariable + " gives the path of the settings file.",
+		detail:      "On SIGTERM or SIGINT the host removes itself from the directory, accepts requests as long as callers may still use its address, waits a limited time for the requests in flight and exits with code 0. It refuses requests that are not expected to end in that time, and answers those that did not with an error. If one of these signals arrives again while the host still accepts requests, the host cuts the requests in flight and stops. On SIGHUP the host reads the settings file again and logs whether it is valid. Changed settings apply from the next start. Without an argument, the environment variable " + settingsVariable + " gives the path of the settings file.",
 		positionals: []positional{{name: "settings", about: "INI file with the settings of the host; see docs/SETTINGS.md", value: &path, optional: true}},
 		run: func(s streams) int {
 			if path == "" {
@@ -61,9 +61,9 @@
 	// Leave marks all later answers so that callers move to other entry hosts. It does
 	// nothing if the protocol has no such mark.
 	Leave()
-	// Close stops accepting requests, waits at most the given time for those in flight and
-	// closes the connections of the rest.
-	Close(wait time.Duration)
+	// Close stops accepting connections and waits at most until end for the requests in
+	// flight. The rest are answered with an error.
+	Close(end time.Time)
 }
 
 // servers are the servers of an entry host, for callers, for other entry hosts and for
@@ -181,26 +181,27 @@
 	return server, nil
 }
 
-// stopEntry stops the host without losing requests, unless they outlast the time limit of
-// the stop. It first removes the host from directory answers. It then accepts requests for
-// the hold time, because callers may still use cached answers that name the host, and at
-// last waits for the requests in flight.
+// stopEntry stops the host without losing requests. It first removes the host from
+// directory answers. It then accepts requests for the hold time, because callers may still
+// use cached answers that name the host, and at last waits for the requests in flight. It
+// refuses requests that would outlast the stop.
 func stopEntry(settings *config.Settings, daemon *entry.Daemon, opened *servers, signals <-chan os.Signal) {
 	stopStart := time.Now()
+	takesUntil := stopStart.Add(daemon.HoldTime())
+	endsAt := takesUntil.Add(settings.DeadlineAtMost)
+	peersWait := settings.DeadlineAtMost
+	if settings.PlatformForm == config.FormStore {
+		endsAt = stopStart.Add(settings.StopTimeout)
+		peersWait = peerCloseTimeout
+	}
+	daemon.PlanStop(takesUntil, endsAt)
 	opened.callers.Leave()
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	daemon.Leave(ctx)
 	cancel()
-	waitHoldTime(daemon.HoldTime()-time.Since(stopStart), opened, signals)
-	timeout := settings.DeadlineAtMost
-	if settings.PlatformForm == config.FormStore {
-		timeout = settings.StopTimeout - time.Since(stopStart)
-	}
-	opened.callers.Close(timeout)
-	if settings.PlatformForm == config.FormStore {
-		timeout = peerCloseTimeout
-	}
-	opened.peers.Close(timeout)
+	waitHoldTime(time.Until(takesUntil), opened, signals)
+	opened.callers.Close(endsAt)
+	opened.peers.Close(peersWait)
 	daemon.Close()
 	opened.admin.Close()
 }
@@ -222,7 +223,7 @@
 				continue
 			}
 			fmt.Fprintln(os.Stderr, "second stop signal received; cutting requests in flight")
-			opened.callers.Close(0)
+			opened.callers.Close(time.Now())
 			return
 		}
 	}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -144,6 +144,11 @@
 	lastPlatformRead atomic.Int64
 	lastPeerContact  atomic.Int64
 	lastTick         atomic.Int64
+	// stopPlan is nil until PlanStop is called.
+	stopPlan atomic.Pointer[stopPlan]
+	// requestsEnded is closed by EndRequests.
+	requestsEnded   chan struct{}
+	endRequestsOnce sync.Once
 	// draining says that Leave was called.
 	draining atomic.Bool
 	// limitsChanged is set if other hosts must be told of a change of a target's limit.
@@ -175,6 +180,7 @@
 		adapter:              adapter,
 		urgent:               make(chan struct{}, 1),
 		topicsRead:           make(chan struct{}),
+		requestsEnded:        make(chan struct{}),
 		platform:             plat.NewClient(settings.PlatformAddress, control),
 		peers:                peer.NewPool(control),
 		reader:               ledger.New(validateDocument),
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -44,7 +44,7 @@
 	body, err := newReplayBody(request)
 	if err != nil {
 		// An earlier submission may have run, and only the home can rule that out.
-		return fault.Wrap(err, fault.MayHaveRun, http.StatusBadRequest, "BodyUnreadable")
+		return d.bodyFault(err).WithVerdict(fault.MayHaveRun)
 	}
 	request.Body = body.reader()
 	err = d.forward(ctx, address, request, w)
@@ -104,6 +104,8 @@
 	select {
 	case <-wait:
 		return nil
+	case <-d.requestsEnded:
+		return stoppingFault().WithVerdict(fault.MayHaveRun)
 	case <-ctx.Done():
 		return fault.Wrap(ctx.Err(), fault.MayHaveRun, http.StatusGatewayTimeout, choose.ReasonDeadline)
 	}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -79,7 +79,11 @@
 	defer cancel()
 	body, err := newReplayBody(request)
 	if err != nil {
-		return fault.Wrap(err, fault.NotRun, http.StatusBadRequest, "BodyUnreadable")
+		return s.daemon.bodyFault(err)
+	}
+	// The body may have arrived only after the host began to stop.
+	if failed := s.daemon.refuseDuringStop(time.Now(), request); failed != nil {
+		return failed
 	}
 	s.daemon.mu.Lock()
 	maxAttempts := s.document.AttemptsAtMost
@@ -124,15 +128,23 @@
 // release cancels the attempts that are still running, waits for them to end and
 // removes the request from the pool.
 func (r *activeRequest) release() {
+	r.cancelAttempts()
+	r.service.release(r.id)
+}
+
+// cancelAttempts cancels the attempts that are still running and waits for them to end.
+func (r *activeRequest) cancelAttempts() {
 	for _, a := range r.attempts {
 		a.cancel()
 	}
 	for r.running > 0 {
 		result := <-r.results
 		r.running--
+		if verdictOf(result) != fault.NotRun {
+			r.mayHaveRun = true
+		}
 		r.discardResult(result)
 	}
-	r.service.release(r.id)
 }
 
 func (r *activeRequest) discardResult(result *attemptResult) {
@@ -169,6 +181,10 @@
 			r.service.hedge(r.id)
 		case <-rescue.C:
 			r.rescue()
+		case <-r.service.daemon.requestsEnded:
+			// An attempt without a connection has not run, which only its end shows.
+			r.cancelAttempts()
+			return nil, r.withEarlierAttempts(stoppingFault())
 		case <-ctx.Done():
 			return nil, r.contextFault(ctx)
 		}
@@ -259,7 +275,7 @@
 		Header:        head,
 		Body:          r.body.reader(),
 		ContentLength: r.request.ContentLength,
-		Deadline:      r.request.Deadline,
+		Deadline:      r.service.daemon.attemptDeadline(r.request),
 		Instance:      grant.Target,
 	}
 }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -85,6 +85,9 @@
 	if d.isIsolated(time.Now()) {
 		return nil, fault.New(fault.NotRun, http.StatusServiceUnavailable, "Isolated")
 	}
+	if failed := d.refuseDuringStop(time.Now(), request); failed != nil {
+		return nil, failed
+	}
 	if !spec.IsName(request.Service) {
 		return nil, fault.New(fault.NotRun, http.StatusNotFound, "UnknownService")
 	}
@@ -118,7 +121,7 @@
 	}
 	body, err := newReplayBody(request)
 	if err != nil {
-		return fault.Wrap(err, fault.NotRun, http.StatusBadRequest, "BodyUnreadable")
+		return d.bodyFault(err)
 	}
 	request.Body = body.reader()
 	err = d.forward(ctx, address, request, w)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -125,6 +125,9 @@
 		limitWarnedAt: make(map[string]time.Time),
 	}
 	s.client = target.NewClient(s.limits, d.adapter.TargetProtocol)
+	if plan := d.stopPlan.Load(); plan != nil {
+		s.pool.StopAt(now, plan.endsAt)
+	}
 	d.metrics.GetOrCreateGauge(fmt.Sprintf("curranttiller_service_limits_in_force{service=%q}", name), func() float64 { return float64(s.limitsInForce.Load()) })
 	return s
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -39,6 +39,8 @@
 	Directory(service, failureDomain string) (caller.Directory, error)
 	// DefaultDeadline returns the time limit of a request that states none.
 	DefaultDeadline(service string) time.Duration
+	// EndRequests makes all requests without an answer end at once.
+	EndRequests()
 }
 
 // Limits bound each request.
@@ -56,17 +58,20 @@
 	limits  Limits
 	log     *slog.Logger
 	http    *http.Server
-	done    sync.WaitGroup
+	tracker *Tracker
+	// listener is nil before Start.
+	listener net.Listener
+	done     sync.WaitGroup
 }
 
 // NewServer returns a server that is not started yet.
 func NewServer(handler Handler, limits Limits, log *slog.Logger) *Server {
-	s := &Server{handler: handler, limits: limits, log: log}
+	s := &Server{handler: handler, limits: limits, log: log, tracker: NewTracker()}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /tiller/directory", s.serveDirectory)
 	mux.HandleFunc(servicePrefix, s.serveRequest)
 	s.http = &http.Server{
-		Handler:           mux,
+		Handler:           s.tracker.Handler(mux),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -89,8 +94,9 @@
 
 // Start accepts connections from a listener until Close. It does not block.
 func (s *Server) Start(listener net.Listener) {
+	s.listener = listener
 	s.done.Go(func() {
-		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			s.log.Error("HTTP server for callers stopped with an error", "Error", err.Error())
 		}
 	})
@@ -100,13 +106,11 @@
 // speak the project's own protocol see in the directory that a host leaves.
 func (s *Server) Leave() {}
 
-// Close refuses new connections and lets the requests in progress finish. It closes the
-// connections of those that are still in progress after the duration wait.
-func (s *Server) Close(wait time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), wait)
-	defer cancel()
-	if s.http.Shutdown(ctx) != nil {
-		_ = s.http.Close()
+// Close refuses new connections and lets the requests in progress finish until end. Then
+// it has the handler answer those that are still in progress.
+func (s *Server) Close(end time.Time) {
+	if s.listener != nil {
+		s.tracker.Stop(s.http, s.listener, end, s.handler.EndRequests)
 	}
 	s.done.Wait()
 }
--- a/pkg/choose/attempt.go
+++ b/pkg/choose/attempt.go
@@ -23,7 +23,7 @@
 // not hedge while hedges waste too much work.
 func (p *Pool) Hedge(now time.Time, id uint64) Actions {
 	r, found := p.requests[id]
-	if !found || r.hasUsedAllAttempts() || p.load > p.settings.BusyShare || p.waiting.len() > 0 {
+	if !found || r.hasUsedAllAttempts() || p.outlastsStop(now, r) || p.load > p.settings.BusyShare || p.waiting.len() > 0 {
 		return Actions{}
 	}
 	if p.settings.Policy == spec.PolicySpeed {
@@ -47,7 +47,7 @@
 // a dead connection causes at most one rescue.
 func (p *Pool) Retry(now time.Time, id uint64, isRescue bool) (Actions, bool) {
 	r, found := p.requests[id]
-	if !found || r.hasUsedAllAttempts() {
+	if !found || r.hasUsedAllAttempts() || p.outlastsStop(now, r) {
 		return Actions{}, false
 	}
 	if isRescue && p.settings.ChargeRescues && !p.extraBudget.SpendAbove(p.priorityReserve(r)) {
--- a/pkg/choose/pool.go
+++ b/pkg/choose/pool.go
@@ -41,6 +41,8 @@
 	arrived  time.Time
 	// spent is the estimated time that the caller spent on earlier tries of the request.
 	spent time.Duration
+	// endsWithStop is set if Deadline is the end of the stop of the host.
+	endsWithStop bool
 	// wasTimely is set if the waiting request could still meet its objective at the last check.
 	wasTimely bool
 }
@@ -140,6 +142,8 @@
 	usedByHost map[string][]*targetState
 	// limited are the targets that name a limit or have named one recently.
 	limited []*targetState
+	// stopsAt is when the host ends the requests without an answer; zero if it does not stop.
+	stopsAt time.Time
 	// limitChanges are the changes of limits since the last call of TakeLimitChanges.
 	limitChanges []TargetLimit
 	// knownHosts is the number of entry hosts that this host knows, itself included, and
@@ -279,6 +283,10 @@
 	if !now.Before(request.Deadline) {
 		return refuse(request.ID, ReasonDeadline)
 	}
+	p.limitToStop(r)
+	if p.outlastsStop(now, r) {
+		return refuse(request.ID, ReasonStopping)
+	}
 	if p.settings.Policy == spec.PolicySpeed {
 		return p.arriveBySpeed(now, r)
 	}
@@ -348,7 +356,7 @@
 	for r := p.waiting.first(); r != nil; r = p.waiting.first() {
 		if !now.Add(p.latencies.median / 2).Before(r.Deadline) {
 			p.waiting.remove(r.ID)
-			actions.Refusals = append(actions.Refusals, Refusal{Request: r.ID, Reason: ReasonDeadline})
+			actions.Refusals = append(actions.Refusals, Refusal{Request: r.ID, Reason: r.deadlineReason()})
 			continue
 		}
 		target, cause := p.pick(now, r)
@@ -392,12 +400,14 @@
 // ejection or when a report of foreign load expires. Under policies other than Speed, it
 // checks no request behind the first one that must keep waiting.
 func (p *Pool) Tick(now time.Time) Actions {
-	if p.settings.Policy != spec.PolicySpeed {
-		return p.dispatch(now)
+	actions := p.expireByStop(now)
+	if p.settings.Policy == spec.PolicySpeed {
+		expired := p.expireBySpeed(now)
+		actions.Refusals = append(actions.Refusals, expired.Refusals...)
 	}
-	actions := p.expireBySpeed(now)
 	granted := p.dispatch(now)
 	actions.Grants = granted.Grants
+	actions.Refusals = append(actions.Refusals, granted.Refusals...)
 	return actions
 }
 
--- a/pkg/choose/speed.go
+++ b/pkg/choose/speed.go
@@ -215,7 +215,7 @@
 		return Actions{Refusals: []Refusal{{Request: r.ID, Reason: ReasonQueueFull, RetryAfter: wait}}}
 	}
 	if p.missesDeadline(now, r) {
-		return refuse(r.ID, ReasonDeadline)
+		return refuse(r.ID, r.deadlineReason())
 	}
 	p.requests[r.ID] = r
 	p.waiting.pushBack(r)
@@ -414,7 +414,7 @@
 		switch {
 		case p.missesDeadline(now, r):
 			p.waiting.remove(r.ID)
-			actions.Refusals = append(actions.Refusals, Refusal{Request: r.ID, Reason: ReasonDeadline})
+			actions.Refusals = append(actions.Refusals, Refusal{Request: r.ID, Reason: r.deadlineReason()})
 		case timely > 0 && !p.canMeetObjective(now, r):
 			p.waiting.remove(r.ID)
 			actions.Refusals = append(actions.Refusals, Refusal{Request: r.ID, Reason: ReasonQueueFull})
--- a/pkg/choose/types.go
+++ b/pkg/choose/types.go
@@ -213,4 +213,6 @@
 	ReasonNoTarget = "NoTarget"
 	// ReasonDeadline means that an answer before the deadline is unlikely. The deadline need not have passed.
 	ReasonDeadline = "DeadlinePassed"
+	// ReasonStopping means that the host stops before the request could be answered.
+	ReasonStopping = "HostStopping"
 )
