event, logs, settle, target: bound what is kept of the bytes that a target sends

Cause: net/http quotes such bytes in its errors, up to 240 KB each. The errors are the causes of two events for each request, and the ring of events is bounded by number only: up to 120 MB with the 512 events of the deployment, of 284 MB in all, and 2 GB by default. The log queue and the headers of remembered answers were bounded by number too.

Change: texts of events and transport errors are cut to 512 bytes, the log queue holds 1 MB, and remembered header fields count as memory.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -99,7 +99,7 @@
 	// KeysRemembered is the largest number of requests with an idempotency key whose
 	// outcomes are stored at once.
 	KeysRemembered int
-	// AnswerBytesRemembered is the largest total size of the response bodies stored for
+	// AnswerBytesRemembered is the largest total size of the response headers and bodies stored for
 	// requests with an idempotency key.
 	AnswerBytesRemembered int
 	// EventsKept is the number of newest events that the host keeps for the command timeline.
@@ -182,7 +182,7 @@
 		{Section: "Requests", Key: "DeadlineAtMostMillis", Unit: "ms", Default: "60000", Allowed: "100 to 3600000", About: "Largest time limit of a request. A longer limit is reduced to it. With form Store, a request without a deadline gets it too.", Set: spec.Millis(&s.DeadlineAtMost, 100*time.Millisecond, time.Hour)},
 		{Section: "Requests", Key: "BodyBytesAtMost", Unit: "bytes", Default: "1073741824", Allowed: "1024 to 1099511627776", About: "Largest size of a request body. A request with a larger one fails.", Set: spec.Int(&s.BodyBytesAtMost, 1024, 1<<40)},
 		{Section: "Requests", Key: "KeysRemembered", Unit: "keys", Default: "100000", Allowed: "100 to 10000000", About: "Largest number of requests with an idempotency key whose outcomes are stored at once.", Set: spec.Int(&s.KeysRemembered, 100, 10000000)},
-		{Section: "Requests", Key: "AnswerBytesRemembered", Unit: "bytes", Default: "16777216", Allowed: "0 to 1073741824", About: "Largest total size of the response bodies stored for requests with an idempotency key.", Set: spec.Int(&s.AnswerBytesRemembered, 0, 1<<30)},
+		{Section: "Requests", Key: "AnswerBytesRemembered", Unit: "bytes", Default: "16777216", Allowed: "0 to 1073741824", About: "Largest total size of the response headers and bodies stored for requests with an idempotency key.", Set: spec.Int(&s.AnswerBytesRemembered, 0, 1<<30)},
 		{Section: "Observability", Key: "EventsKept", Unit: "events", Default: "8192", Allowed: "16 to 1000000", About: "Number of newest events that the host keeps for the command timeline.", Set: spec.Int(&s.EventsKept, 16, 1000000)},
 		{Section: "Observability", Key: "LogLevels", Default: "all=info", Allowed: "subsystem=level values separated by commas", About: "Log level of each subsystem: debug, info, warn or error. The subsystems are entry, front, request, target, plat and peer. The name all sets the level of every subsystem.", Set: s.setLogLevels},
 		{Section: "Observability", Key: "Pprof", Default: "Off", Allowed: "On or Off", About: "Whether the admin address serves the profiling endpoint.", Set: spec.Choice(&s.Pprof, "On", "Off")},
--- a/internal/logs/queue.go
+++ b/internal/logs/queue.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -12,6 +13,9 @@
 	// queueCapacity is the largest number of lines that wait for the output. A line has
 	// about 300 bytes.
 	queueCapacity = 512
+	// maxQueuedBytes is the largest total size of the lines that wait. Lines with bytes that
+	// a caller or a target has sent may be long.
+	maxQueuedBytes = 1 << 20
 	// linesPerSecond is the highest rate of lines and also the size of the largest
 	// burst. It leaves room for about one line per request, because a steered host, one
 	// that callers are directed to, handles at most a few hundred requests a second.
@@ -36,8 +40,10 @@
 	// and totalDrops those since the start.
 	unreportedDrops uint64
 	totalDrops      uint64
-	closed          bool
-	writer          sync.WaitGroup
+	// queuedBytes is the total size of the lines that wait.
+	queuedBytes atomic.Int64
+	closed      bool
+	writer      sync.WaitGroup
 }
 
 // NewQueue returns a queue that writes to out in a goroutine of its own, until Close.
@@ -48,6 +54,7 @@
 		for line := range q.lines {
 			// An error can't be reported, because the log is the only output.
 			_, _ = q.out.Write(line)
+			q.queuedBytes.Add(-int64(len(line)))
 		}
 	})
 	return q
@@ -90,8 +97,13 @@
 
 // enqueue queues a line, or drops it if the queue is full. The caller holds q.mu.
 func (q *Queue) enqueue(line []byte) {
+	if q.queuedBytes.Load()+int64(len(line)) > maxQueuedBytes {
+		q.countDropped()
+		return
+	}
 	select {
 	case q.lines <- line:
+		q.queuedBytes.Add(int64(len(line)))
 	default:
 		q.countDropped()
 	}
--- a/internal/logs/queue_test.go
+++ b/internal/logs/queue_test.go
@@ -43,3 +43,21 @@
 	is.True(strings.Contains(text, "log lines dropped"))
 	is.True(strings.HasSuffix(text, "later\n"))
 }
+
+// TestQueueBoundsBytes guards against long lines that use up the memory of the host while
+// the output is blocked (issue 29, report of another operator).
+func TestQueueBoundsBytes(t *testing.T) {
+	is := is.New(t)
+	out := &blockedWriter{release: make(chan struct{})}
+	q := logs.NewQueue(out, func() time.Time { return time.Unix(0, 0) })
+	line := bytes.Repeat([]byte("x"), 100<<10)
+	for range 100 {
+		_, err := q.Write(line)
+		is.NoErr(err)
+	}
+	close(out.release)
+	q.Close()
+	is.True(out.buffer.Len() <= 2<<20)
+	is.True(out.buffer.Len() >= 5*len(line))
+	is.True(q.Dropped() >= 80)
+}
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -302,9 +302,33 @@
 	}
 }
 
+// maxErrorBytes is the length to which the text of a transport error is cut.
+const maxErrorBytes = 512
+
+// boundedError is a transport error with a shorter text. net/http quotes the bytes that are
+// no answer, up to the longest head and more than once.
+type boundedError struct {
+	error
+}
+
+// Error returns the first 512 bytes of the text.
+func (e boundedError) Error() string {
+	text := e.error.Error()
+	if len(text) <= maxErrorBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxErrorBytes], "") + "..."
+}
+
+// Unwrap returns the error with the whole text.
+func (e boundedError) Unwrap() error {
+	return e.error
+}
+
 // classifyError adds the verdict to a transport error. It blocks further writes to
 // the connection, so that an attempt reported as NotRun can't be sent afterwards.
 func (t *tracker) classifyError(err error) *fault.Error {
+	err = boundedError{err}
 	if t.conn == nil || !t.conn.blockWrites(t.writesBefore) {
 		return fault.Wrap(err, fault.NotRun, http.StatusServiceUnavailable, "TargetUnreachable")
 	}
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -44,13 +44,29 @@
 	return &Ring{host: host, incarnation: incarnation, capacity: capacity, now: now}
 }
 
+// maxTextBytes is the length to which the texts of a stored event are cut. Some contain
+// bytes that a caller or a target has sent.
+const maxTextBytes = 512
+
+// bounded returns a copy of a text that is cut to maxTextBytes, so that a longer text
+// can be freed.
+func bounded(text string) string {
+	if len(text) <= maxTextBytes {
+		return text
+	}
+	return strings.ToValidUTF8(strings.Clone(text[:maxTextBytes]), "") + "..."
+}
+
 // Add stores an event, with its Time, Host, Incarnation and Sequence set by the ring buffer.
+// Texts of more than 512 bytes are cut.
 func (r *Ring) Add(added Event) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	added.Time = r.now()
 	added.Host = r.host
 	added.Incarnation = r.incarnation
+	added.Service, added.Target = bounded(added.Service), bounded(added.Target)
+	added.Request, added.Cause = bounded(added.Request), bounded(added.Cause)
 	added.Sequence = r.sequence
 	r.sequence++
 	if len(r.events) < r.capacity {
--- a/pkg/event/event_test.go
+++ b/pkg/event/event_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"github.com/matryer/is"
 
@@ -22,6 +24,23 @@
 	is.Equal(kept[2].Kind, "K4")
 }
 
+// TestRingBoundsTexts guards against events that keep what a caller or a target has sent
+// (issue 29, report of another operator).
+func TestRingBoundsTexts(t *testing.T) {
+	is := is.New(t)
+	ring := event.NewRing("a", 1, 3, func() time.Time { return time.Unix(0, 0) })
+	long := strings.Repeat("é", 30<<10)
+	ring.Add(event.Event{Kind: "K", Service: long, Target: long, Request: long, Cause: long})
+	ring.Add(event.Event{Kind: "K", Cause: "short"})
+	kept := ring.Events(event.Filter{})
+	for _, text := range []string{kept[0].Service, kept[0].Target, kept[0].Request, kept[0].Cause} {
+		is.True(len(text) < 1<<10)
+		is.True(utf8.ValidString(text))
+		is.True(strings.HasPrefix(text, "éé"))
+	}
+	is.Equal(kept[1].Cause, "short")
+}
+
 // TestMergeCorrectsClocks guards against an event that is shown before its cause because
 // the clock of its host is behind.
 func TestMergeCorrectsClocks(t *testing.T) {
--- a/pkg/limit/named.go
+++ b/pkg/limit/named.go
@@ -56,7 +56,8 @@
 
 func (n Named) withProblem(problem, text string) Named {
 	n.Problem = problem
-	n.Text = text[:min(len(text), maxTextBytes)]
+	// Cloned, because the text may be part of a long header.
+	n.Text = strings.Clone(text[:min(len(text), maxTextBytes)])
 	return n
 }
 
--- a/pkg/settle/home.go
+++ b/pkg/settle/home.go
@@ -24,6 +24,15 @@
 	BodyDropped bool
 }
 
+// size returns the number of bytes of the header and the body.
+func (o *Outcome) size() int {
+	size := len(o.Body)
+	for _, field := range o.Headers {
+		size += len(field[0]) + len(field[1])
+	}
+	return size
+}
+
 // Action is what the home must do with a submission.
 type Action int
 
@@ -69,7 +78,7 @@
 type Limits struct {
 	// Keys is the largest number of stored keys, those of running requests included.
 	Keys int
-	// Bytes is the largest total size of the stored bodies.
+	// Bytes is the largest total size of the stored headers and bodies.
 	Bytes int
 }
 
@@ -80,8 +89,8 @@
 	limits Limits
 	// minCounter is the lowest counter at which a key without a record is certain to be new.
 	minCounter uint64
-	// bodyBytes is the total size of the stored bodies.
-	bodyBytes int
+	// storedBytes is the total size of the stored headers and bodies.
+	storedBytes int
 	// records has the record of a key under its counter and then its unique part, so
 	// that all keys with the same counter can expire together.
 	records  map[uint64]map[string]*keyRecord
@@ -118,7 +127,7 @@
 func (h *Home) expireFinished(counter uint64, records map[string]*keyRecord) {
 	for unique, record := range records {
 		if record.done {
-			h.bodyBytes -= len(record.outcome.Body)
+			h.storedBytes -= record.outcome.size()
 			h.keyCount--
 			delete(records, unique)
 		}
@@ -195,19 +204,19 @@
 }
 
 // Finish stores the outcome of a key for which Submit returned Run. It does nothing if
-// the key has no record of a running request. If the body doesn't fit into the memory
+// the key has no record of a running request. If header and body don't fit into the memory
 // limit, the stored outcome keeps only the verdict, and its status is 409 Conflict.
 func (h *Home) Finish(key Key, outcome Outcome) {
 	record, found := h.records[key.Counter][key.Unique]
 	if !found || record.done {
 		return
 	}
-	if h.bodyBytes+len(outcome.Body) > h.limits.Bytes {
+	if h.storedBytes+outcome.size() > h.limits.Bytes {
 		outcome = Outcome{Verdict: outcome.Verdict, Status: statusConflict, Reason: "AnswerNotRemembered", BodyDropped: true}
 	}
 	record.done = true
 	record.outcome = outcome
-	h.bodyBytes += len(outcome.Body)
+	h.storedBytes += outcome.size()
 }
 
 // Keys returns the number of stored keys, which Limits.Keys bounds.
--- a/pkg/settle/home_test.go
+++ b/pkg/settle/home_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -112,6 +113,31 @@
 	m.running = make(map[settle.Key]bool)
 }
 
+// TestHeadersCountAsMemory guards against a home that stores long headers of any number of
+// answers (issue 29, report of another operator).
+func TestHeadersCountAsMemory(t *testing.T) {
+	is := is.New(t)
+	h := settle.New("entry1", 7, settle.Limits{Keys: 10, Bytes: 100})
+	h.Advance(5, 5)
+	outcome := settle.Outcome{Verdict: fault.Ran, Status: 200, Headers: [][2]string{{"X-Long", strings.Repeat("x", 60)}}}
+	for i, isKept := range []bool{true, false} {
+		k := key(7, 3, strconv.Itoa(i))
+		h.Submit(k, 1)
+		h.Finish(k, outcome)
+		action, got := h.Submit(k, 1)
+		is.Equal(action, settle.Replay)
+		is.Equal(got.Verdict, fault.Ran)
+		is.Equal(got.BodyDropped, !isKept)
+		is.Equal(len(got.Headers) == 1, isKept)
+	}
+	h.Advance(20, 5) // expires the first one
+	k := key(7, 18, "next")
+	h.Submit(k, 1)
+	h.Finish(k, outcome)
+	_, got := h.Submit(k, 1)
+	is.True(!got.BodyDropped)
+}
+
 // TestNoKeyRunsTwice guards against a second run of a request after the home of its key
 // crashed, its outcome expired or the response was lost. It submits keys in any order
 // and counts the runs at the targets. A request that was refused must not run later either.
