platform, plat: an odd entry names no target, and rows are decoded one by one

Cause: values of other writers were checked for their type and not for a range. On the project's own platform one row with a number too large made the whole list of hosts unreadable.

--- a/internal/plat/api.go
+++ b/internal/plat/api.go
@@ -1,6 +1,7 @@
 package plat
 
 import (
+	"encoding/json"
 	"net/netip"
 	"time"
 
@@ -67,14 +68,24 @@
 	ColdUntil time.Time `json:",omitzero"`
 }
 
-// Check returns an error if the name, the address, the role or the state of the row is not
-// allowed.
+// maxSlots is the largest number of slots that a row may state.
+const maxSlots = 1 << 16
+
+// Check returns an error if the name, the address, the slots, the role or the state of the
+// row is not allowed.
 func (h *Host) Check() error {
 	if !spec.IsName(h.Name) {
 		return eris.Errorf("name %q: allowed: 1 to 64 ASCII letters, digits, '-' and '_', beginning with a letter or digit", h.Name)
 	}
-	if _, err := netip.ParseAddrPort(h.Address); err != nil {
-		return eris.Errorf("address %q: allowed: IP:port", h.Address)
+	address, err := netip.ParseAddrPort(h.Address)
+	if err != nil {
+		return eris.Errorf("address %.100q: allowed: IP:port", h.Address)
+	}
+	if address.Port() == 0 {
+		return eris.Errorf("address %q: allowed: a port from 1 to 65535", h.Address)
+	}
+	if h.Slots < 0 || h.Slots > maxSlots {
+		return eris.Errorf("slots %d: allowed: 0 to %d", h.Slots, maxSlots)
 	}
 	if h.Role != RoleTarget && h.Role != RoleEntry {
 		return eris.Errorf("role %q: allowed: %s or %s", h.Role, RoleTarget, RoleEntry)
@@ -91,3 +102,25 @@
 	Revision uint64
 	Hosts    []Host
 }
+
+// UnmarshalJSON decodes the rows one by one, so that a row with a value that doesn't fit
+// its field has no effect on the others. Such a row is returned without values, which Check
+// rejects.
+func (r *HostsReply) UnmarshalJSON(text []byte) error {
+	var reply struct {
+		Revision uint64
+		Hosts    []json.RawMessage
+	}
+	if err := json.Unmarshal(text, &reply); err != nil {
+		return eris.Wrap(err, "decoding the list of hosts")
+	}
+	*r = HostsReply{Revision: reply.Revision}
+	for _, row := range reply.Hosts {
+		var host Host
+		if json.Unmarshal(row, &host) != nil {
+			host = Host{}
+		}
+		r.Hosts = append(r.Hosts, host)
+	}
+	return nil
+}
--- a/internal/plat/api_test.go
+++ b/internal/plat/api_test.go
@@ -21,6 +21,10 @@
 		{"no name", func(h *plat.Host) { h.Name = "" }, false},
 		{"name with a space", func(h *plat.Host) { h.Name = "a b" }, false},
 		{"host name as address", func(h *plat.Host) { h.Address = "host:1" }, false},
+		{"port out of range", func(h *plat.Host) { h.Address = "127.0.0.1:70000" }, false},
+		{"port zero", func(h *plat.Host) { h.Address = "127.0.0.1:0" }, false},
+		{"negative slots", func(h *plat.Host) { h.Slots = -1 }, false},
+		{"slots beyond any target", func(h *plat.Host) { h.Slots = 2_000_000_000 }, false},
 		{"unknown role", func(h *plat.Host) { h.Role = "Moon" }, false},
 		{"unknown state", func(h *plat.Host) { h.State = "Odd" }, false},
 	}
@@ -34,6 +38,28 @@
 	}
 }
 
+// TestOddRowLeavesOthers guards against hosts that no longer follow the list because of one
+// row with a value that doesn't fit its field (issue 29, report of another operator).
+func TestOddRowLeavesOthers(t *testing.T) {
+	const good = `{"Name":"r1","Role":"Target","Address":"127.0.0.1:1","State":"Live"}`
+	for _, odd := range []string{
+		`{"Name":"r2","Role":"Target","Address":"127.0.0.1:2","State":"Live","Slots":1e999}`,
+		`{"Name":"r2","Role":"Target","Address":7,"State":"Live"}`,
+		`{"Name":"r2","Role":"Target","Address":"127.0.0.1:2","State":"Live","ColdUntil":"never"}`,
+		`[[[]]]`, `7`,
+	} {
+		t.Run(odd, func(t *testing.T) {
+			is := is.New(t)
+			var reply plat.HostsReply
+			is.NoErr(json.Unmarshal([]byte(`{"Revision":4,"Hosts":[`+odd+`,`+good+`]}`), &reply))
+			is.Equal(reply.Revision, uint64(4))
+			is.Equal(len(reply.Hosts), 2)
+			is.True(reply.Hosts[0].Check() != nil)
+			is.NoErr(reply.Hosts[1].Check())
+		})
+	}
+}
+
 // FuzzHosts checks that every row that passes Check has an address that can be parsed.
 func FuzzHosts(f *testing.F) {
 	for _, seed := range []string{`{"Revision":1,"Hosts":[{"Name":"a"}]}`, `{}`, `[]`, `{"Hosts":null}`, `{"Revision":-1}`} {
