config: the hold time of a stop ends before its grace time does

What callers would see: with a grace time below 2.5 s a host still accepts requests when the platform kills it, and all of them end without an answer.

Cause: deploy/entry.ini states HoldMillis as a number, and the grace time comes from the platform. Nothing compared the two.

Change: the hold time is at most half of the time for the stop.

Result: TestHoldEndsBeforeGrace failed in 2 of 4 cases and passes.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -145,7 +145,7 @@
 		{Section: "Steering", Key: "SlotsPerCore", Unit: "slots", Default: "140", Allowed: "1 to 100000", About: "Number of target slots that one core can keep busy with requests (form Store). A slot is room for one request that a target runs. If a request takes 0.5 to 0.7 ms of processor time and a slot completes one or two requests a second, the default uses 7 to 20 % of a core, which leaves room for three times this usual load.", Set: spec.Int(&s.SlotsPerCore, 1, 100000)},
 		{Section: "Steering", Key: "SlotsPerMbit", Unit: "slots", Default: "5", Allowed: "1 to 100000", About: "Number of target slots that 1 Mbit/s of the network link can keep busy with requests (form Store). The default uses about a quarter of the link if a request takes 6 KB in and out and a slot completes one request a second.", Set: spec.Int(&s.SlotsPerMbit, 1, 100000)},
 		{Section: "Steering", Key: "DirectoryHoldSeconds", Unit: "s", Default: "5", Allowed: "0.1 to 600", About: "How long callers may cache a directory answer (form Store). A lookup takes a caller two network round trips. A caller that caches an answer for too long may first try a stopped host and then use another address.", Set: parseSeconds(&s.DirectoryHold)},
-		{Section: "Stop", Key: "HoldMillis", Unit: "ms", Default: "2500", Allowed: "0 to 600000", About: "How long a stopping host accepts requests from callers that still use its address (form Store). Those that are not expected to end before the stop does are refused. Later requests are accepted only if their deadline passes before that.", Set: spec.Millis(&s.StopHold, 0, 10*time.Minute)},
+		{Section: "Stop", Key: "HoldMillis", Unit: "ms", Default: "2500", Allowed: "0 to 600000", About: "How long a stopping host accepts requests from callers that still use its address, at most 45% of GraceSeconds (form Store). Those that are not expected to end before the stop does are refused. Later requests are accepted only if their deadline passes before that.", Set: spec.Millis(&s.StopHold, 0, 10*time.Minute)},
 		{Section: "Stop", Key: "GraceSeconds", Unit: "s", Default: "6", Allowed: "0.1 to 600", About: "Time from the stop signal until the platform kills the process. After nine tenths of it the host answers the requests that are still in flight: with 503 those that have certainly not run, and with 502 the others (form Store).", Set: parseSeconds(&s.StopGrace)},
 		{Section: "Retries", Key: "ShareOfRequests", Default: "0.2", Allowed: "0 to 1", About: "Largest number of extra attempts, such as retries and hedges, of all entry hosts together, as a fraction of the number of requests (form Store).", Set: spec.Float(&s.RetryShare, 0, 1)},
 		{Section: "Retries", Key: "Burst", Unit: "attempts", Default: "50", Allowed: "0 to 100000", About: "Number of extra attempts that all entry hosts together may send at once (form Store). It is the total capacity of their token buckets, which ShareOfRequests refills.", Set: spec.Float(&s.RetryBurst, 0, 100000)},
@@ -279,6 +279,8 @@
 		s.PeerAdvertised = s.PeerAddress
 	}
 	s.StopTimeout = time.Duration(stopGraceShare * float64(s.StopGrace))
+	// The other half is for the requests that arrive last.
+	s.StopHold = min(s.StopHold, s.StopTimeout/2)
 	if s.FailAfter < 2*s.HeartbeatPeriod {
 		return Settings{}, &spec.FieldError{File: file, Section: "Membership", Key: "FailAfterMillis", Value: s.FailAfter.String(), Allowed: "at least twice HeartbeatMillis"}
 	}
--- a/internal/config/settings_test.go
+++ b/internal/config/settings_test.go
@@ -67,3 +67,25 @@
 	is.True(settings.StopHold+2*time.Second <= settings.StopTimeout)
 	is.True(settings.StopTimeout <= 6*time.Second-500*time.Millisecond)
 }
+
+// TestHoldEndsBeforeGrace guards against a host that still accepts requests when the platform
+// kills it (issue 29). A deployment may have a shorter grace time than its hold time.
+func TestHoldEndsBeforeGrace(t *testing.T) {
+	tests := []struct {
+		text     string
+		wantHold time.Duration
+	}{
+		{"HoldMillis = 2500\nGraceSeconds = 6\n", 2500 * time.Millisecond},
+		{"HoldMillis = 2500\nGraceSeconds = 2\n", 900 * time.Millisecond},
+		{"HoldMillis = 2500\nGraceSeconds = 0.2\n", 90 * time.Millisecond},
+		{"HoldMillis = 0\nGraceSeconds = 2\n", 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.text, func(t *testing.T) {
+			is := is.New(t)
+			settings, err := config.Parse("test", []byte(validSettings+"[Stop]\n"+tt.text))
+			is.NoErr(err)
+			is.Equal(settings.StopHold, tt.wantHold)
+		})
+	}
+}
