entry: a body that is not in memory belongs to one attempt

Cause: hedges did not ask whether the body can be sent again, and got the same reader as the first attempt. Retries and rescues asked, but the answer could change afterwards.

Change: one decision in internal/entry/body.go, which every kind of attempt asks. A body that is not in memory allows one attempt, and the pool knows that. The project's own server reads short bodies of unknown length into memory too, and gives up bodies that arrive too slowly.

--- /dev/null
+++ b/internal/entry/body.go
@@ -0,0 +1,101 @@
+package entry
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+
+	"gitlab.com/curranttiller/curranttiller/internal/route"
+	"gitlab.com/curranttiller/curranttiller/pkg/choose"
+	"gitlab.com/curranttiller/curranttiller/pkg/fault"
+)
+
+// maxReplayBodyBytes is the largest request body that is read into memory, so that
+// another attempt can send it again.
+const maxReplayBodyBytes = 64 << 10
+
+// requestBody is the body of a request. If it is whole in memory, every attempt reads it
+// from its start. Otherwise it is still arriving and belongs to the first attempt that
+// takes it, so that the request can't have another one. Every kind of attempt asks here:
+// retries, hedges and rescues through attemptsAtMost, and requests that are forwarded to
+// another host and then served here through canBeTaken.
+type requestBody struct {
+	buffered []byte
+	// stream is nil if the body is in memory or there is none.
+	stream  io.Reader
+	hasBody bool
+	isTaken bool
+}
+
+// newRequestBody reads a body of at most maxReplayBodyBytes into memory, and sets its
+// length in the request if that was unknown. A non-idempotent request keeps a body of
+// length zero, because net/http may send a request without a body twice.
+func newRequestBody(request *route.Request) (*requestBody, error) {
+	switch {
+	case request.IsIdempotent() && request.ContentLength == 0:
+		return &requestBody{}, nil
+	case request.ContentLength > maxReplayBodyBytes:
+		return &requestBody{stream: request.Body, hasBody: true}, nil
+	case request.ContentLength < 0:
+		return newBodyOfUnknownLength(request)
+	}
+	buffered := make([]byte, request.ContentLength)
+	if _, err := io.ReadFull(request.Body, buffered); err != nil {
+		return nil, err
+	}
+	return &requestBody{buffered: buffered, hasBody: true}, nil
+}
+
+func newBodyOfUnknownLength(request *route.Request) (*requestBody, error) {
+	buffered, err := io.ReadAll(io.LimitReader(request.Body, maxReplayBodyBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(buffered) > maxReplayBodyBytes {
+		return &requestBody{stream: io.MultiReader(bytes.NewReader(buffered), request.Body), hasBody: true}, nil
+	}
+	request.ContentLength = int64(len(buffered))
+	return &requestBody{buffered: buffered, hasBody: true}, nil
+}
+
+// canBeTaken reports whether another attempt may have the body.
+func (b *requestBody) canBeTaken() bool {
+	return b.stream == nil || !b.isTaken
+}
+
+// take returns the body for one attempt, nil if there is none. It must not be called if
+// canBeTaken returns false.
+func (b *requestBody) take() io.Reader {
+	b.isTaken = true
+	switch {
+	case !b.hasBody:
+		return nil
+	case b.stream != nil:
+		return b.stream
+	default:
+		return bytes.NewReader(b.buffered)
+	}
+}
+
+// attemptsAtMost returns how many attempts the request may have if its route allows the
+// given number.
+func (b *requestBody) attemptsAtMost(allowed int) int {
+	if b.stream != nil {
+		return 1
+	}
+	return allowed
+}
+
+// bodyFault returns the error of a request whose body could not be read.
+func (d *Daemon) bodyFault(cause error) *fault.Error {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(cause, &tooLarge):
+		return fault.Wrap(cause, fault.NotRun, http.StatusRequestEntityTooLarge, "BodyTooLarge")
+	case d.areRequestsEnded():
+		return fault.Wrap(cause, fault.NotRun, http.StatusServiceUnavailable, choose.ReasonStopping)
+	default:
+		return fault.Wrap(cause, fault.NotRun, http.StatusBadRequest, "BodyUnreadable")
+	}
+}
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -41,17 +41,17 @@
 // example because the connection is lost, and the body can be sent again, it does so
 // once more. The home deduplicates the two submissions, so the work does not run twice.
 func (d *Daemon) forwardKeyed(ctx context.Context, address string, request *route.Request, w http.ResponseWriter) error {
-	body, err := newReplayBody(request)
+	body, err := newRequestBody(request)
 	if err != nil {
 		// An earlier submission may have run, and only the home can rule that out.
 		return d.bodyFault(err).WithVerdict(fault.MayHaveRun)
 	}
-	request.Body = body.reader()
+	request.Body = body.take()
 	err = d.forward(ctx, address, request, w)
-	if ctx.Err() != nil || !isUnanswered(err) || !body.isReplayable() {
+	if ctx.Err() != nil || !isUnanswered(err) || !body.canBeTaken() {
 		return err
 	}
-	request.Body = body.reader()
+	request.Body = body.take()
 	return d.forward(ctx, address, request, w)
 }
 
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -18,8 +17,6 @@
 )
 
 const (
-	// maxReplayBodyBytes is the largest request body that is buffered so that another attempt can send it again.
-	maxReplayBodyBytes = 64 << 10
 	// maxBufferedAnswerBytes is how much of an answer's body is read before its attempt
 	// wins. Until then the answer of another attempt may be used instead.
 	maxBufferedAnswerBytes = 256 << 10
@@ -43,7 +40,7 @@
 	attempts map[int]*attempt
 	// running counts the attempts that were sent and have not been reported to the pool as finished.
 	running int
-	body    *replayBody
+	body    *requestBody
 	// rescued is set once the rescue timer has fired, even if no attempt was sent for it.
 	rescued     bool
 	firstSentAt time.Time
@@ -77,7 +74,7 @@
 	s.metrics.requests.Inc()
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline.Add(answerGrace))
 	defer cancel()
-	body, err := newReplayBody(request)
+	body, err := newRequestBody(request)
 	if err != nil {
 		return s.daemon.bodyFault(err)
 	}
@@ -91,6 +88,7 @@
 	if request.Terms != nil {
 		maxAttempts = request.Terms.AttemptsAtMost
 	}
+	maxAttempts = body.attemptsAtMost(maxAttempts)
 	r := &activeRequest{
 		service:  s,
 		request:  request,
@@ -273,7 +271,7 @@
 		Method:        r.request.Method,
 		URI:           r.request.URI,
 		Header:        head,
-		Body:          r.body.reader(),
+		Body:          r.body.take(),
 		ContentLength: r.request.ContentLength,
 		Deadline:      r.service.daemon.attemptDeadline(r.request),
 		Instance:      grant.Target,
@@ -361,11 +359,9 @@
 	return http.StatusText(result.answer.Status) + " (" + result.answer.Verdict.String() + ")"
 }
 
-// canRetry reports whether another attempt is safe and the request body can be sent again.
+// canRetry reports whether another attempt is safe. Whether the body allows one is part of
+// the number of attempts that the pool knows.
 func (r *activeRequest) canRetry(result *attemptResult) bool {
-	if !r.body.isReplayable() {
-		return false
-	}
 	return r.request.IsIdempotent() || verdictOf(result) == fault.NotRun
 }
 
@@ -393,12 +389,12 @@
 // rescue handles an answer that is so late that the connection may be dead, for
 // example because a device on the path has lost its state. It closes the idle
 // connections that may be dead too and frees the slots of the request. If the request
-// is idempotent and its body can be sent again, it requests another attempt on a new
-// connection. Otherwise the request can only go on waiting.
+// is idempotent, it requests another attempt on a new connection. Otherwise the request
+// can only go on waiting.
 func (r *activeRequest) rescue() {
 	r.rescued = true
 	r.service.suspect(r.id, r.firstSentAt)
-	if !r.request.IsIdempotent() || !r.body.isReplayable() {
+	if !r.request.IsIdempotent() {
 		return
 	}
 	if r.service.retry(r.id, true) {
@@ -460,55 +456,3 @@
 	}
 	return route.ErrTruncated
 }
-
-// replayBody is a request body that can be sent again for another attempt if it is
-// small enough to be buffered or if nothing of it has been read yet.
-type replayBody struct {
-	buffered []byte
-	stream   *trackingReader
-	hasBody  bool
-}
-
-// trackingReader records whether anything was read.
-type trackingReader struct {
-	io.Reader
-
-	wasRead bool
-}
-
-// Read implements io.Reader and sets wasRead.
-func (c *trackingReader) Read(p []byte) (int, error) {
-	c.wasRead = true
-	return c.Reader.Read(p)
-}
-
-// newReplayBody reads a small body into memory. A non-idempotent request keeps a body
-// of length zero, because net/http may send a request without a body twice.
-func newReplayBody(request *route.Request) (*replayBody, error) {
-	if request.IsIdempotent() && request.ContentLength == 0 {
-		return &replayBody{}, nil
-	}
-	if request.ContentLength > maxReplayBodyBytes || request.ContentLength < 0 {
-		return &replayBody{stream: &trackingReader{Reader: request.Body}, hasBody: true}, nil
-	}
-	buffered := make([]byte, request.ContentLength)
-	if _, err := io.ReadFull(request.Body, buffered); err != nil {
-		return nil, err
-	}
-	return &replayBody{buffered: buffered, hasBody: true}, nil
-}
-
-func (b *replayBody) reader() io.Reader {
-	switch {
-	case !b.hasBody:
-		return nil
-	case b.stream != nil:
-		return b.stream
-	default:
-		return bytes.NewReader(b.buffered)
-	}
-}
-
-func (b *replayBody) isReplayable() bool {
-	return b.stream == nil || !b.stream.wasRead
-}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -119,19 +119,19 @@
 	if address == "" || request.Forwarded {
 		return s.serveRequest(ctx, request, w)
 	}
-	body, err := newReplayBody(request)
+	body, err := newRequestBody(request)
 	if err != nil {
 		return d.bodyFault(err)
 	}
-	request.Body = body.reader()
+	request.Body = body.take()
 	err = d.forward(ctx, address, request, w)
 	if !isUnsent(err) && (!request.IsIdempotent() || !isUnanswered(err)) {
 		return err
 	}
-	if !body.isReplayable() {
+	if !body.canBeTaken() {
 		return err
 	}
-	request.Body = body.reader()
+	request.Body = body.take()
 	return s.serveRequest(ctx, request, w)
 }
 
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -74,14 +74,6 @@
 	}
 }
 
-// bodyFault returns the error of a request whose body could not be read.
-func (d *Daemon) bodyFault(cause error) *fault.Error {
-	if d.areRequestsEnded() {
-		return fault.Wrap(cause, fault.NotRun, http.StatusServiceUnavailable, choose.ReasonStopping)
-	}
-	return fault.Wrap(cause, fault.NotRun, http.StatusBadRequest, "BodyUnreadable")
-}
-
 // attemptDeadline returns the time by which a target must answer an attempt of a request.
 func (d *Daemon) attemptDeadline(request *route.Request) time.Time {
 	plan := d.stopPlan.Load()
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -27,6 +27,8 @@
 	keepAliveIdle     = 2 * time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 3
+	// bodyReadGrace is how long after its deadline the body of a request is still read.
+	bodyReadGrace = time.Second
 )
 
 // Handler answers the requests of callers.
@@ -140,6 +142,12 @@
 		return
 	}
 	request.Body = http.MaxBytesReader(w, r.Body, s.limits.BodyBytes)
+	if r.ContentLength != 0 {
+		// Stops reading a body that arrives too slowly.
+		if err := http.NewResponseController(w).SetReadDeadline(request.Deadline.Add(bodyReadGrace)); err != nil {
+			s.log.Warn("setting the read deadline of a request body failed", "Error", err.Error())
+		}
+	}
 	if err := s.handler.Serve(r.Context(), request, w); err != nil {
 		// The header has been sent, so the connection must be aborted to show the caller
 		// that the answer is truncated.
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -116,6 +116,26 @@
 	}
 }
 
+// TestSlowBodyIsGivenUp guards against requests whose body never ends and which keep their
+// connection for ever (issue 30).
+func TestSlowBodyIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	handler := newBlockingHandler()
+	server := front.NewServer(handler, front.Limits{Deadline: 200 * time.Millisecond, BodyBytes: 1 << 20}, slog.New(slog.DiscardHandler))
+	listener, err := front.Listen(t.Context(), "127.0.0.1:0")
+	is.NoErr(err)
+	server.Start(listener)
+	defer func() { server.Close(time.Now()) }()
+	conn := dial(t, listener)
+	_, err = io.WriteString(conn, "POST /svc/s/x HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nbody")
+	is.NoErr(err)
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(3 * time.Second)))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.True(response.Close)
+}
+
 func dial(t *testing.T, listener net.Listener) net.Conn {
 	t.Helper()
 	var dialer net.Dialer
--- a/internal/front/tracker.go
+++ b/internal/front/tracker.go
@@ -69,11 +69,6 @@
 	}
 }
 
-// IsCut reports whether the bodies that still arrive have been given up.
-func (t *Tracker) IsCut() bool {
-	return t.cut.Err() != nil
-}
-
 // waitIdle waits until there is no request or the time is over. It reports whether there is none.
 func (t *Tracker) waitIdle(wait time.Duration) bool {
 	t.mu.Lock()
