choose, entry, beacon, platform: a target that says that it leaves gets no further requests

Cause: no host read the header, and no message between hosts could carry it.

Change: the header of each answer is read before its body. The departure concerns instances that started until a time, and neither an entry, a report nor another host takes it back. Beacons carry it to all hosts. Requests that wait are refused at once when no target is left.

--- a/internal/beacon/message.go
+++ b/internal/beacon/message.go
@@ -42,6 +42,9 @@
 	// Limits are what the sender knows of the limits that targets name, also from other
 	// hosts.
 	Limits []ServiceLimits
+	// Departures are the targets that have said that they leave, to the sender or to
+	// another host.
+	Departures []ServiceDepartures
 }
 
 // WithObservations returns a copy of the message that carries observations of targets.
@@ -62,6 +65,12 @@
 	return m
 }
 
+// WithDepartures returns a copy of the message that carries leaving targets.
+func (m Message) WithDepartures(departures []ServiceDepartures) Message {
+	m.Departures = departures
+	return m
+}
+
 // TopicExtent states how far the sender has read a topic.
 type TopicExtent struct {
 	Topic string
@@ -110,6 +119,20 @@
 	Age time.Duration
 }
 
+// ServiceDepartures holds the leaving targets of a service.
+type ServiceDepartures struct {
+	Service string
+	Targets []TargetDeparture
+}
+
+// TargetDeparture says that a target leaves.
+type TargetDeparture struct {
+	// ID is the TargetID of the target's name.
+	ID uint32
+	// StartedUntil is the latest start of an instance of the target that leaves, in whole ms.
+	StartedUntil time.Time
+}
+
 // TargetID returns a 32-bit hash of a target's name, which stands for the name in
 // beacons. If two targets of a service have the same hash, the observations of one
 // may be counted for the other. Requests may then go to a slower target, but never
@@ -132,6 +155,9 @@
 	for i := range m.Limits {
 		wire.Limits = append(wire.Limits, encodeLimits(&m.Limits[i]))
 	}
+	for i := range m.Departures {
+		wire.Departures = append(wire.Departures, encodeDepartures(&m.Departures[i]))
+	}
 	encoded, err := proto.Marshal(wire)
 	return encoded, eris.Wrap(err, "encoding a beacon")
 }
@@ -177,6 +203,9 @@
 	for _, service := range wire.GetLimits() {
 		m.Limits = append(m.Limits, decodeLimits(service))
 	}
+	for _, service := range wire.GetDepartures() {
+		m.Departures = append(m.Departures, decodeDepartures(service))
+	}
 	return m, nil
 }
 
@@ -206,6 +235,26 @@
 	return s
 }
 
+func encodeDepartures(s *ServiceDepartures) *peerpb.ServiceDepartures {
+	wire := &peerpb.ServiceDepartures{Service: s.Service}
+	for _, d := range s.Targets {
+		wire.Targets = append(wire.Targets, d.ID)
+		wire.StartedUntilMillis = append(wire.StartedUntilMillis, uint64(max(d.StartedUntil.UnixMilli(), 0)))
+	}
+	return wire
+}
+
+// decodeDepartures joins the lists of the wire format to one departure per target. Longer
+// lists are cut to the shortest.
+func decodeDepartures(wire *peerpb.ServiceDepartures) ServiceDepartures {
+	s := ServiceDepartures{Service: wire.GetService()}
+	for i := range min(len(wire.GetTargets()), len(wire.GetStartedUntilMillis())) {
+		until := min(wire.GetStartedUntilMillis()[i], math.MaxInt64)
+		s.Targets = append(s.Targets, TargetDeparture{ID: wire.GetTargets()[i], StartedUntil: time.UnixMilli(int64(until))})
+	}
+	return s
+}
+
 // decodeObservations joins the lists of the wire format, one per field, to one
 // observation per target. The number of observations is the length of the shortest
 // list other than the failed shares, and longer lists are cut to it. If there are fewer
--- a/internal/beacon/message_test.go
+++ b/internal/beacon/message_test.go
@@ -18,6 +18,9 @@
 		Limits: []beacon.ServiceLimits{{Service: "reservas", Targets: []beacon.TargetLimit{
 			{ID: beacon.TargetID("t1"), PerSecond: 3.5, Age: 20 * time.Millisecond}, {ID: beacon.TargetID("t2"), Age: time.Second},
 		}}},
+		Departures: []beacon.ServiceDepartures{{Service: "reservas", Targets: []beacon.TargetDeparture{
+			{ID: beacon.TargetID("t1"), StartedUntil: time.UnixMilli(1_700_000_000_123)}, {ID: beacon.TargetID("t2"), StartedUntil: time.UnixMilli(0)},
+		}}},
 	}
 }
 
--- a/internal/entry/beacons.go
+++ b/internal/entry/beacons.go
@@ -91,7 +91,7 @@
 
 // isFullBeaconDue reports whether a beacon to the whole fan-out is due, and if so
 // records it in last and updates the fan-out. It is due after topicBeaconPeriod, after a
-// change of a target's limit, and at once if isUrgent. Outside a full mesh it is also due on a relay once the last
+// change of what a target states, and at once if isUrgent. Outside a full mesh it is also due on a relay once the last
 // confirmation of a topic is more recent by minConfirmationGain than the one in the last
 // full beacon, because each relay on the way adds to the age of the confirmation.
 func (d *Daemon) isFullBeaconDue(now time.Time, isUrgent bool, last *fullBeacon) bool {
@@ -104,11 +104,11 @@
 		}
 	}
 	isFresh := d.forwardsChanges() && confirmed.Sub(last.confirmedAt) >= minConfirmationGain
-	isLimitChanged := d.limitsChanged.Swap(false)
-	if isLimitChanged {
+	isStatementChanged := d.statementsChanged.Swap(false)
+	if isStatementChanged {
 		d.limitBeaconsLeft = limitBeaconsAfterChange
 	}
-	if !isUrgent && !isFresh && !isLimitChanged && now.Sub(last.sentAt) < topicBeaconPeriod {
+	if !isUrgent && !isFresh && !isStatementChanged && now.Sub(last.sentAt) < topicBeaconPeriod {
 		return false
 	}
 	*last = fullBeacon{sentAt: now, confirmedAt: confirmed}
@@ -164,7 +164,7 @@
 	requesters := d.observationRequesters(now, receivers.far)
 	d.mu.Unlock()
 	if isFull {
-		message = message.WithLimits(d.limitsForBeacon(now, services))
+		message = d.withStatements(now, message, services)
 		d.sendBeacon(&message, receivers.rest)
 	}
 	if len(receivers.near)+len(receivers.far) == 0 {
@@ -236,25 +236,43 @@
 		d.observationsWantedAt[m.Sender] = now
 	}
 	d.applySteeredIDs(m.Steered, &sender.Info, now)
-	services := make(map[string]*service, len(m.Services)+len(m.Limits))
-	for i := range m.Services {
-		services[m.Services[i].Service] = d.services[m.Services[i].Service]
-	}
-	for i := range m.Limits {
-		services[m.Limits[i].Service] = d.services[m.Limits[i].Service]
-	}
+	services := d.servicesIn(m)
 	forwardsChanges := d.forwardsChanges()
 	d.mu.Unlock()
+	isChanged := false
 	for i := range m.Services {
 		if s := services[m.Services[i].Service]; s != nil {
 			s.mergeObservations(now, m.Sender, &m.Services[i])
 		}
 	}
 	for i := range m.Limits {
-		if s := services[m.Limits[i].Service]; s != nil && s.mergeLimits(now, m.Sender, &m.Limits[i]) && forwardsChanges {
-			d.limitsChanged.Store(true)
+		if s := services[m.Limits[i].Service]; s != nil && s.mergeLimits(now, m.Sender, &m.Limits[i]) {
+			isChanged = true
 		}
 	}
+	for i := range m.Departures {
+		if s := services[m.Departures[i].Service]; s != nil && s.mergeDepartures(now, m.Sender, &m.Departures[i]) {
+			isChanged = true
+		}
+	}
+	if isChanged && forwardsChanges {
+		d.statementsChanged.Store(true)
+	}
+}
+
+// servicesIn returns the services that a beacon mentions and this host has, by name; d.mu is held.
+func (d *Daemon) servicesIn(m *beacon.Message) map[string]*service {
+	services := make(map[string]*service, len(m.Services)+len(m.Limits)+len(m.Departures))
+	for i := range m.Services {
+		services[m.Services[i].Service] = d.services[m.Services[i].Service]
+	}
+	for i := range m.Limits {
+		services[m.Limits[i].Service] = d.services[m.Limits[i].Service]
+	}
+	for i := range m.Departures {
+		services[m.Departures[i].Service] = d.services[m.Departures[i].Service]
+	}
+	return services
 }
 
 // receivedBeaconBytes is the assumed size of a received beacon in the count of control traffic.
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -151,8 +151,9 @@
 	endRequestsOnce sync.Once
 	// draining says that Leave was called.
 	draining atomic.Bool
-	// limitsChanged is set if other hosts must be told of a change of a target's limit.
-	limitsChanged atomic.Bool
+	// statementsChanged is set if other hosts must be told of a change of a target's limit or
+	// that a target leaves.
+	statementsChanged atomic.Bool
 	// lastRequestID is the last ID that a request got in a pool.
 	lastRequestID atomic.Uint64
 
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -69,7 +69,7 @@
 // loop tell them to other hosts; s.mu is held.
 func (s *service) announceLimitChanges(now time.Time, source string) {
 	for _, change := range s.pool.TakeLimitChanges() {
-		s.daemon.limitsChanged.Store(true)
+		s.daemon.statementsChanged.Store(true)
 		s.logLimitChange(now, &change, source)
 	}
 }
@@ -127,15 +127,20 @@
 	s.limitsInForce.Store(inForce)
 }
 
-// limitsForBeacon returns the limits of the targets of all services that the next full
-// beacon carries.
-func (d *Daemon) limitsForBeacon(now time.Time, services []*service) []beacon.ServiceLimits {
+// withStatements adds to a full beacon what targets have stated in their answers, their
+// limits and that they leave, if it is the turn of these.
+func (d *Daemon) withStatements(now time.Time, message beacon.Message, services []*service) beacon.Message {
 	d.fullBeacons++
 	if d.limitBeaconsLeft == 0 && d.fullBeacons%limitBeaconEvery > 0 {
-		return nil
+		return message
 	}
 	d.limitBeaconsLeft = max(d.limitBeaconsLeft-1, 0)
 	d.limitBeacons++
+	return message.WithLimits(d.limitsForBeacon(now, services)).WithDepartures(departuresForBeacon(services))
+}
+
+// limitsForBeacon returns the limits of the targets of all services that a beacon carries.
+func (d *Daemon) limitsForBeacon(now time.Time, services []*service) []beacon.ServiceLimits {
 	var all []beacon.ServiceLimits
 	for _, s := range services {
 		if limits := s.knownLimits(now); len(limits) > 0 {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -248,7 +248,7 @@
 	client, address, useNew := r.service.transport(grant.Target)
 	outgoing := r.targetRequest(grant, address)
 	outgoing.NewConnection = grant.Attempt > 1 || (useNew && !r.request.IsIdempotent())
-	go func() { r.results <- sendAttempt(ctx, client, grant, outgoing) }()
+	go func() { r.results <- r.service.sendAttempt(ctx, client, grant, outgoing) }()
 }
 
 func (r *activeRequest) addEvent(kind, targetName, cause string) {
@@ -279,7 +279,7 @@
 }
 
 // sendAttempt sends one attempt and reads up to maxBufferedAnswerBytes of its answer.
-func sendAttempt(ctx context.Context, client *target.Client, grant choose.Grant, outgoing *target.Request) *attemptResult {
+func (s *service) sendAttempt(ctx context.Context, client *target.Client, grant choose.Grant, outgoing *target.Request) *attemptResult {
 	sentAt := time.Now()
 	result := &attemptResult{attempt: grant.Attempt, target: grant.Target}
 	answer, err := client.Do(ctx, outgoing)
@@ -289,6 +289,7 @@
 		return result
 	}
 	result.answer = answer
+	s.recordDeparture(grant.Target, grant.TargetStartedAt, sentAt, answer.Departure, limitFromAnswer)
 	result.prefix, err = io.ReadAll(io.LimitReader(answer.Body, maxBufferedAnswerBytes+1))
 	result.latency = time.Since(sentAt)
 	if err != nil {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -68,6 +68,8 @@
 	poolDocument spec.Document
 	// limitWarnedAt is when the last warning about an unusual limit of each target was logged.
 	limitWarnedAt map[string]time.Time
+	// departureWarnedAt is the same for an unusual statement that it leaves.
+	departureWarnedAt map[string]time.Time
 
 	// limitsInForce is the number of targets that name a limit.
 	limitsInForce atomic.Int64
@@ -86,6 +88,9 @@
 	// a target named a usable limit, and unusualLimits those with one that was unusable or
 	// was replaced by a bound.
 	limitedAnswers, limitedProbes, unusualLimits *metrics.Counter
+	// leavingAnswers counts the answers in which a target said that it leaves, and
+	// unusualDepartures those that said so in an unusual way, which has no effect.
+	leavingAnswers, unusualDepartures *metrics.Counter
 	// waited is the time from the arrival of a request to the grant of the attempt that
 	// won, target the latency of that attempt, and total the time from the arrival to
 	// the end of the answer, all in seconds.
@@ -104,6 +109,7 @@
 		requests: counter("requests"), retries: counter("retries"), hedges: counter("hedges"), rescues: counter("rescues"),
 		refusals: counter("refusals"), probes: counter("probes"),
 		limitedAnswers: counter("limited_answers"), limitedProbes: counter("limited_probes"), unusualLimits: counter("unusual_limits"),
+		leavingAnswers: counter("leaving_answers"), unusualDepartures: counter("unusual_departures"),
 	}
 }
 
@@ -122,7 +128,8 @@
 		probeBudgets: make(map[string]*budget.Share),
 		ejected:      make(map[string]bool),
 
-		limitWarnedAt: make(map[string]time.Time),
+		limitWarnedAt:     make(map[string]time.Time),
+		departureWarnedAt: make(map[string]time.Time),
 	}
 	s.client = target.NewClient(s.limits, d.adapter.TargetProtocol)
 	if plan := d.stopPlan.Load(); plan != nil {
@@ -203,7 +210,7 @@
 		}
 		listed = append(listed, steer.Target{Name: h.Name, FailureDomain: h.FailureDomain})
 		targets = append(targets, choose.Target{
-			Name: h.Name, FailureDomain: h.FailureDomain, Leaving: h.State == plat.StateLeaving, Slots: h.Slots, ColdUntil: h.ColdUntil,
+			Name: h.Name, FailureDomain: h.FailureDomain, Leaving: h.State == plat.StateLeaving, Slots: h.Slots, ColdUntil: h.ColdUntil, StartedAt: h.StartedAt,
 		})
 	}
 	held := make(map[string]bool)
--- a/internal/entry/timers.go
+++ b/internal/entry/timers.go
@@ -89,18 +89,20 @@
 // probe sends one probe to a target and reports its result to the pool.
 func (d *Daemon) probe(s *service, name string) {
 	client, address, _ := s.transport(name)
+	startedAt := s.targetStartedAt(name)
 	if address == "" {
 		return
 	}
 	d.counters.probes.Inc()
 	s.metrics.probes.Inc()
 	sent := time.Now()
-	report, named := client.Probe(d.ctx, s.name, address, name, probeTimeout)
-	if named != nil {
-		s.recordStatement(name, *named, limitFromProbe)
+	result := client.Probe(d.ctx, s.name, address, name, probeTimeout)
+	s.recordDeparture(name, startedAt, sent, result.Departure, limitFromProbe)
+	if result.Limit != nil {
+		s.recordStatement(name, *result.Limit, limitFromProbe)
 	}
-	if report == nil {
+	if result.Report == nil {
 		d.events.Add(event.Event{Kind: "ProbeFailed", Service: s.name, Target: name})
 	}
-	s.probeFinished(name, sent, report, named)
+	s.probeFinished(name, sent, result.Report, result.Limit)
 }
--- a/internal/plat/api.go
+++ b/internal/plat/api.go
@@ -66,6 +66,8 @@
 	Slots int `json:",omitempty"`
 	// ColdUntil is when a target that has just started will reach its usual speed.
 	ColdUntil time.Time `json:",omitzero"`
+	// StartedAt is when this instance of a target started, zero if the list does not state it.
+	StartedAt time.Time `json:",omitzero"`
 }
 
 // maxSlots is the largest number of slots that a row may state.
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -75,6 +75,8 @@
 	Report *choose.Report
 	// Limit is what the answer states about the target's limit on requests.
 	Limit limit.Named
+	// Departure is what the answer states about the target's leaving.
+	Departure Departure
 	// Verdict says whether the target ran the work, as the protocol read it from the
 	// answer.
 	Verdict fault.Verdict
@@ -99,10 +101,21 @@
 	Report *choose.Report
 	// Limit is what the response states about the target's limit on requests.
 	Limit limit.Named
+	// Departure is what the response states about the target's leaving.
+	Departure Departure
 	// Verdict says whether the target ran the work.
 	Verdict fault.Verdict
 }
 
+// Departure is what one answer of a target states about its leaving.
+type Departure struct {
+	// IsLeaving says that the instance that answered will end and wants no new requests.
+	IsLeaving bool
+	// Unusual is a statement that has no effect because it is not well-formed, cut to 64
+	// bytes; empty if there is none.
+	Unusual string
+}
+
 // Client sends attempts to the targets of one service. It is safe for concurrent use.
 type Client struct {
 	protocol Protocol
@@ -253,6 +266,7 @@
 		ContentLength: response.ContentLength,
 		Report:        info.Report,
 		Limit:         info.Limit,
+		Departure:     info.Departure,
 		Verdict:       info.Verdict,
 	}, nil
 }
@@ -379,30 +393,40 @@
 	return outgoing.WithContext(ctx), nil
 }
 
-// Probe asks a target for its load and returns nil if it gets no valid report within
-// the timeout. A report with status 503 is returned and marked as unhealthy, because
-// the target did answer. The results of requests decide whether it is usable. The second
-// result is what the answer states about the target's limit, nil without an answer.
-func (c *Client) Probe(ctx context.Context, service, address, instance string, timeout time.Duration) (*choose.Report, *limit.Named) {
+// ProbeResult is what a probe has shown.
+type ProbeResult struct {
+	// Report is nil if there was no valid report within the timeout.
+	Report *choose.Report
+	// Limit is what the answer states about the target's limit, nil without a valid answer.
+	Limit *limit.Named
+	// Departure is what the answer states about the target's leaving.
+	Departure Departure
+}
+
+// Probe asks a target for its load. A report with status 503 is returned and marked as
+// unhealthy, because the target did answer. The results of requests decide whether it is
+// usable.
+func (c *Client) Probe(ctx context.Context, service, address, instance string, timeout time.Duration) ProbeResult {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request := c.protocol.ProbeRequest(service, address, instance)
 	request.Deadline = time.Now().Add(timeout)
 	answer, err := c.Do(ctx, request)
 	if err != nil {
-		return nil, nil
+		return ProbeResult{}
 	}
 	defer func() { _ = answer.Body.Close() }()
+	result := ProbeResult{Departure: answer.Departure}
 	if _, err := io.CopyN(io.Discard, answer.Body, maxProbeBytes); !errors.Is(err, io.EOF) {
-		return nil, nil
+		return result
 	}
-	if answer.Report != nil && answer.Status == http.StatusServiceUnavailable {
+	switch {
+	case answer.Report != nil && answer.Status == http.StatusServiceUnavailable:
 		unhealthy := *answer.Report
 		unhealthy.Unhealthy = true
-		return &unhealthy, &answer.Limit
-	}
-	if answer.Status != http.StatusOK {
-		return nil, nil
+		result.Report, result.Limit = &unhealthy, &answer.Limit
+	case answer.Status == http.StatusOK:
+		result.Report, result.Limit = answer.Report, &answer.Limit
 	}
-	return answer.Report, &answer.Limit
+	return result
 }
--- a/pkg/choose/attempt.go
+++ b/pkg/choose/attempt.go
@@ -26,6 +26,7 @@
 	if !found || r.hasUsedAllAttempts() || p.outlastsStop(now, r) || p.load > p.settings.BusyShare || p.waiting.len() > 0 {
 		return Actions{}
 	}
+	p.refreshDepartures(now)
 	if p.settings.Policy == spec.PolicySpeed {
 		if !p.mayHedge(r) {
 			return Actions{}
@@ -50,6 +51,9 @@
 	if !found || r.hasUsedAllAttempts() || p.outlastsStop(now, r) {
 		return Actions{}, false
 	}
+	if p.refreshDepartures(now); !p.hasActiveTarget() {
+		return Actions{}, false
+	}
 	if isRescue && p.settings.ChargeRescues && !p.extraBudget.SpendAbove(p.priorityReserve(r)) {
 		return Actions{}, false
 	}
--- a/pkg/choose/limits.go
+++ b/pkg/choose/limits.go
@@ -156,7 +156,7 @@
 	count := 0
 	for _, s := range p.targets {
 		switch {
-		case s.Leaving || s.draining:
+		case s.isLeaving():
 		case s.hasLimit():
 			ready, perSecond := s.limiter.Supply(now, p.limitRole(s))
 			whole, fraction := math.Modf(max(ready, 0))
--- a/pkg/choose/policy.go
+++ b/pkg/choose/policy.go
@@ -48,7 +48,7 @@
 	if len(all) > 0 {
 		return all
 	}
-	return p.filter(func(s *targetState) bool { return !s.Leaving && !s.draining && p.limitAllows(now, s) })
+	return p.filter(func(s *targetState) bool { return !s.isLeaving() && p.limitAllows(now, s) })
 }
 
 // allows reports whether a target may get the request while others are usable. A target
--- a/pkg/choose/pool.go
+++ b/pkg/choose/pool.go
@@ -142,6 +142,10 @@
 	usedByHost map[string][]*targetState
 	// limited are the targets that name a limit or have named one recently.
 	limited []*targetState
+	// departures are the targets that have said that they leave, by name, and
+	// departureChanges those since the last call of TakeDepartureChanges.
+	departures       map[string]departure
+	departureChanges []Departure
 	// stopsAt is when the host ends the requests without an answer; zero if it does not stop.
 	stopsAt time.Time
 	// limitChanges are the changes of limits since the last call of TakeLimitChanges.
@@ -174,6 +178,7 @@
 		knownHosts:         1,
 		aliveHosts:         1,
 		usedByHost:         make(map[string][]*targetState),
+		departures:         make(map[string]departure),
 	}
 	p.extraBudget = budget.NewRetryBudget(settings.ExtraAttemptShare, p.extraAttemptBurst())
 	return p
@@ -277,6 +282,7 @@
 		request.AttemptsAtMost = p.settings.AttemptsAtMost
 	}
 	r := &pending{Request: request, arrived: now}
+	p.refreshDepartures(now)
 	if !p.hasActiveTarget() {
 		return refuse(request.ID, ReasonNoTarget)
 	}
@@ -307,7 +313,7 @@
 
 // hasActiveTarget reports whether any target is neither leaving nor draining.
 func (p *Pool) hasActiveTarget() bool {
-	return slices.ContainsFunc(p.targets, func(s *targetState) bool { return !s.Leaving && !s.draining })
+	return slices.ContainsFunc(p.targets, func(s *targetState) bool { return !s.isLeaving() })
 }
 
 // maxWait is how long a request may wait for a slot. It may wait as long as it can
@@ -349,6 +355,10 @@
 // Speed, it refuses requests at the head of the queue with less than half the median
 // latency left until their deadline, because they could probably not be answered in time.
 func (p *Pool) dispatch(now time.Time) Actions {
+	p.refreshDepartures(now)
+	if p.waiting.len() > 0 && !p.hasActiveTarget() {
+		return p.refuseWaiting()
+	}
 	if p.settings.Policy == spec.PolicySpeed {
 		return p.dispatchBySpeed(now)
 	}
@@ -386,12 +396,14 @@
 		return p.newSpeedGrant(r, target, cause)
 	}
 	return Grant{
-		Request:      r.ID,
-		Target:       target.Name,
-		Attempt:      len(r.attempts),
-		HedgeAfter:   p.hedgeAfter(r),
-		SuspectAfter: p.latencies.suspectThreshold(),
-		Cause:        cause,
+		Request: r.ID,
+		Target:  target.Name,
+
+		TargetStartedAt: target.StartedAt,
+		Attempt:         len(r.attempts),
+		HedgeAfter:      p.hedgeAfter(r),
+		SuspectAfter:    p.latencies.suspectThreshold(),
+		Cause:           cause,
 	}
 }
 
--- a/pkg/choose/replay_test.go
+++ b/pkg/choose/replay_test.go
@@ -50,6 +50,11 @@
 	limitFrom, limitTo time.Duration
 	// ignoresLimits makes the hosts ignore the limits.
 	ignoresLimits bool
+	// leaving is the number of targets, counted from the last, whose answers say from
+	// leavingFrom on that they leave. ignoresLeaving makes the hosts ignore that.
+	leaving        int
+	leavingFrom    time.Duration
+	ignoresLeaving bool
 	// disturb is called every 100 ms and may change the state of hosts and targets.
 	disturb func(s *simulation)
 	// load multiplies the arrival rates during length.
@@ -162,6 +167,12 @@
 	return &limit.Named{PerSecond: w.limit}
 }
 
+// isLeaving reports whether the answers of a target say that it leaves.
+func (t *simTarget) isLeaving() bool {
+	w := &t.sim.workload
+	return t.index >= w.targets-w.leaving && t.sim.now >= w.leavingFrom
+}
+
 func (s *simulation) total() classResult {
 	var all classResult
 	for _, result := range s.results {
@@ -256,6 +267,10 @@
 	// runs again.
 	isCut       bool
 	frozenUntil time.Duration
+	// toldLeaving is when the host got the first answer of each target that leaves, and
+	// sentToLeaving are the times from then until the arrivals of the requests that it sent there.
+	toldLeaving   map[string]time.Duration
+	sentToLeaving []time.Duration
 }
 
 // simRequest is a request at a host.
@@ -269,7 +284,7 @@
 }
 
 func newSimHost(s *simulation, index int) *simHost {
-	h := &simHost{sim: s, name: fmt.Sprintf("h%d", index), domain: fmt.Sprintf("d%d", index%s.workload.domains), requests: make(map[uint64]*simRequest)}
+	h := &simHost{sim: s, name: fmt.Sprintf("h%d", index), domain: fmt.Sprintf("d%d", index%s.workload.domains), requests: make(map[uint64]*simRequest), toldLeaving: make(map[string]time.Duration)}
 	h.pool = choose.New(choose.Settings{
 		Policy: spec.PolicySpeed, Slots: s.workload.slots, AttemptsAtMost: 2, ExtraAttemptShare: 0.18, ExtraBurst: 37, HedgeQuantile: 0.95,
 		BusyShare: 0.9, QuietAfter: 100 * time.Millisecond, FailureDomain: h.domain, ChargeRescues: true,
@@ -319,12 +334,15 @@
 	now := h.sim.clock()
 	observations := h.pool.Observations(now, 100*time.Millisecond)
 	limits := h.pool.Limits(now)
+	departures := h.pool.Departures()
 	for _, other := range h.sim.hosts {
 		if other != h && !h.isCut && !other.isCut && h.sim.now >= h.frozenUntil {
 			h.sim.schedule(time.Millisecond, func() {
 				other.apply(other.pool.ReceiveObservations(other.sim.clock(), h.name, observations))
 				actions, _ := other.pool.ReceiveLimits(other.sim.clock(), limits)
 				other.apply(actions)
+				actions, _ = other.pool.ReceiveDepartures(other.sim.clock(), departures)
+				other.apply(actions)
 			})
 		}
 	}
@@ -415,6 +433,9 @@
 	attempt := &simAttempt{host: h, request: r, number: grant.Attempt, target: t, sent: h.sim.now}
 	r.attempts[grant.Attempt] = attempt
 	h.sim.sends++
+	if told, found := h.toldLeaving[t.name]; found {
+		h.sentToLeaving = append(h.sentToLeaving, r.arrived-told)
+	}
 	h.sim.schedule(h.networkDelay(t), func() { t.receive(attempt) })
 	if grant.HedgeAfter > 0 {
 		h.sim.schedule(grant.HedgeAfter, func() {
@@ -429,6 +450,19 @@
 	}
 }
 
+// receiveAnswer applies the answer to an attempt.
+func (h *simHost) receiveAnswer(attempt *simAttempt, outcome choose.Outcome, isLeaving bool) {
+	if name := attempt.target.name; isLeaving {
+		if _, found := h.toldLeaving[name]; !found {
+			h.toldLeaving[name] = h.sim.now
+		}
+		if !h.sim.workload.ignoresLeaving {
+			h.apply(h.pool.ObserveDeparture(h.sim.clock(), name, time.Time{}, testStart.Add(attempt.sent)))
+		}
+	}
+	h.finishAttempt(attempt, outcome)
+}
+
 func (h *simHost) rescue(r *simRequest) {
 	if !h.isPending(r) || r.rescued {
 		return
@@ -519,9 +553,9 @@
 }
 
 func (t *simTarget) decline(attempt *simAttempt) {
-	report, named := t.report(), t.named()
+	report, named, isLeaving := t.report(), t.named(), t.isLeaving()
 	t.sim.schedule(attempt.host.networkDelay(t), func() {
-		attempt.host.finishAttempt(attempt, choose.Outcome{Kind: choose.Declined, Report: report, Limit: named})
+		attempt.host.receiveAnswer(attempt, choose.Outcome{Kind: choose.Declined, Report: report, Limit: named}, isLeaving)
 	})
 }
 
@@ -542,9 +576,9 @@
 	if t.sim.rng.Float64() < t.sim.workload.lost {
 		return
 	}
-	report, named := t.report(), t.named()
+	report, named, isLeaving := t.report(), t.named(), t.isLeaving()
 	t.sim.schedule(attempt.host.networkDelay(t), func() {
-		attempt.host.finishAttempt(attempt, choose.Outcome{Kind: choose.Answered, Report: report, Limit: named})
+		attempt.host.receiveAnswer(attempt, choose.Outcome{Kind: choose.Answered, Report: report, Limit: named}, isLeaving)
 	})
 }
 
--- a/pkg/choose/speed.go
+++ b/pkg/choose/speed.go
@@ -89,7 +89,7 @@
 	clear(c.byClass)
 	p.addCandidates(now, &c, func(s *targetState) bool { return s.acceptsWork(now) })
 	if len(c.candidates)+c.limited == 0 {
-		p.addCandidates(now, &c, func(s *targetState) bool { return !s.Leaving && !s.draining })
+		p.addCandidates(now, &c, func(s *targetState) bool { return !s.isLeaving() })
 	}
 	p.candidates = c.candidates
 	return c
@@ -239,7 +239,7 @@
 	slots, limitedSlots := 0, 0.0
 	for _, s := range p.targets {
 		switch {
-		case s.Leaving || s.draining || s.estimate.expectedSlowdown(now, p.meanSlowdown) > fastSlowdown:
+		case s.isLeaving() || s.estimate.expectedSlowdown(now, p.meanSlowdown) > fastSlowdown:
 		case s.hasLimit():
 			_, perSecond := s.limiter.Supply(now, p.limitRole(s))
 			limitedSlots += min(perSecond*p.work(r).Seconds(), float64(p.usefulSlots(s)))
@@ -394,7 +394,7 @@
 func (p *Pool) newSpeedGrant(r *pending, target *targetState, cause string) Grant {
 	sent := r.attempts[len(r.attempts)-1].sent
 	return Grant{
-		Request: r.ID, Target: target.Name, Attempt: len(r.attempts), Cause: cause,
+		Request: r.ID, Target: target.Name, TargetStartedAt: target.StartedAt, Attempt: len(r.attempts), Cause: cause,
 		Slowdown: target.estimate.slowdown, SlowdownAge: target.estimate.slowdownAge(sent), Waited: sent.Sub(r.arrived),
 	}
 }
--- a/pkg/choose/target.go
+++ b/pkg/choose/target.go
@@ -74,6 +74,8 @@
 	// onTrial is set from an ejection until the next answer to a request that is not slow.
 	onTrial  bool
 	draining bool
+	// departing is set if the target has said that it leaves, unless it is the last resort.
+	departing bool
 	// lastGrant is the sequence number of the last grant to the target.
 	lastGrant uint64
 	// removed is set if the target is no longer in Pool.targets, observed if it is in Pool.observed.
@@ -213,5 +215,10 @@
 }
 
 func (s *targetState) acceptsWork(now time.Time) bool {
-	return !s.Leaving && !s.draining && !s.isEjected(now)
+	return !s.isLeaving() && !s.isEjected(now)
+}
+
+// isLeaving reports whether the target is to get no new requests because it will end.
+func (s *targetState) isLeaving() bool {
+	return s.Leaving || s.draining || s.departing
 }
--- a/pkg/choose/types.go
+++ b/pkg/choose/types.go
@@ -60,6 +60,9 @@
 	Slots int
 	// ColdUntil is the time until which a target that has just started works more slowly than usual.
 	ColdUntil time.Time
+	// StartedAt is when this instance of the target started, zero if that is not known. A
+	// target may start again under the same name.
+	StartedAt time.Time
 }
 
 // Request describes a request of a caller.
@@ -96,6 +99,8 @@
 type Grant struct {
 	Request uint64
 	Target  string
+	// TargetStartedAt is Target.StartedAt of the target.
+	TargetStartedAt time.Time
 	// Attempt is the number of the attempt, from 1.
 	Attempt int
 	// HedgeAfter is the time from the grant after which to call Pool.Hedge if there is no answer; zero means never.
--- a/pkg/choose/view.go
+++ b/pkg/choose/view.go
@@ -21,7 +21,7 @@
 	Ejected     bool
 	// EjectedCause is that of the last ejection, also after its end.
 	EjectedCause string
-	// Draining means that the target gets no new requests, by its report or by Target.Leaving.
+	// Draining means that the target gets no new requests, by its report, an answer or Target.Leaving.
 	Draining bool
 }
 
@@ -32,7 +32,7 @@
 		views = append(views, View{
 			Target: s.Target, InFlight: s.inFlight, Limit: min(s.limit, p.settings.Slots),
 			Reported: s.report, ReportAge: now.Sub(s.lastContact), Foreign: s.foreignLoad(now), LastLatency: s.lastLatency,
-			Ejected: s.isEjected(now), EjectedCause: s.ejectCause, Draining: s.draining || s.Leaving,
+			Ejected: s.isEjected(now), EjectedCause: s.ejectCause, Draining: s.isLeaving(),
 		})
 	}
 	slices.SortFunc(views, func(a, b View) int { return strings.Compare(a.Name, b.Name) })
