front: close idle connections of a stopping server only once it drops what it reads

Change: the tracker counts connections by their state, which becomes active before the handler is called, and idle ones are closed by Shutdown, after which the server drops requests that it reads. Answers that begin during the stop end their connection.

--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -73,12 +73,13 @@
 	mux.HandleFunc("GET /tiller/directory", s.serveDirectory)
 	mux.HandleFunc(servicePrefix, s.serveRequest)
 	s.http = &http.Server{
-		Handler:           s.tracker.Handler(mux),
+		Handler:           mux,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
+	s.tracker.Follow(s.http)
 	return s
 }
 
@@ -141,7 +142,7 @@
 		route.WriteFault(w, id, failed)
 		return
 	}
-	request.Body = http.MaxBytesReader(w, r.Body, s.limits.BodyBytes)
+	request.Body = LimitBody(w, r.Body, s.limits.BodyBytes)
 	if r.ContentLength != 0 {
 		// Stops reading a body that arrives too slowly.
 		if err := http.NewResponseController(w).SetReadDeadline(request.Deadline.Add(bodyReadGrace)); err != nil {
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -146,3 +147,84 @@
 	t.Cleanup(func() { _ = conn.Close() })
 	return conn
 }
+
+// echoHandler answers at once and records which requests it got.
+type echoHandler struct {
+	blockingHandler
+
+	mu  sync.Mutex
+	got map[string]bool
+}
+
+// Serve implements front.Handler.
+func (h *echoHandler) Serve(_ context.Context, request *route.Request, w http.ResponseWriter) error {
+	h.mu.Lock()
+	h.got[request.URI] = true
+	h.mu.Unlock()
+	_, _ = io.WriteString(w, "done")
+	return nil
+}
+
+// answeredSet records the requests that got a whole answer.
+type answeredSet struct {
+	mu   sync.Mutex
+	uris map[string]bool
+}
+
+// call sends requests on one connection, one after the other, until it ends.
+func (a *answeredSet) call(conn net.Conn, caller int) {
+	reader := bufio.NewReader(conn)
+	for number := 0; ; number++ {
+		uri := fmt.Sprintf("/%d-%d", caller, number)
+		if !exchange(conn, reader, uri) {
+			return
+		}
+		a.mu.Lock()
+		a.uris[uri] = true
+		a.mu.Unlock()
+	}
+}
+
+// exchange sends one request and reports whether it got a whole answer.
+func exchange(conn net.Conn, reader *bufio.Reader, uri string) bool {
+	if _, err := io.WriteString(conn, "GET /svc/s"+uri+" HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		return false
+	}
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err == nil
+}
+
+// TestCloseNeverCutsRequestThatWasPassedOn guards against a server that closes a connection
+// on which it has just read a request, and passes the request on all the same. It was seen
+// on a day of the users' bench (issue 29, LOST).
+func TestCloseNeverCutsRequestThatWasPassedOn(t *testing.T) {
+	const (
+		rounds  = 40
+		callers = 40
+	)
+	for range rounds {
+		is := is.New(t)
+		handler := &echoHandler{got: make(map[string]bool)}
+		server := front.NewServer(handler, front.Limits{Deadline: time.Minute, BodyBytes: 1 << 20}, slog.New(slog.DiscardHandler))
+		listener, err := front.Listen(t.Context(), "127.0.0.1:0")
+		is.NoErr(err)
+		server.Start(listener)
+		var calling sync.WaitGroup
+		answered := &answeredSet{uris: make(map[string]bool)}
+		for i := range callers {
+			conn := dial(t, listener)
+			calling.Go(func() { answered.call(conn, i) })
+		}
+		<-time.After(10 * time.Millisecond) // the callers are in the middle of their requests
+		server.Close(time.Now().Add(time.Second))
+		calling.Wait()
+		for uri := range handler.got {
+			is.True(answered.uris[uri]) // every request that was passed on has an answer
+		}
+	}
+}
