--- a/internal/entry/beacons.go
+++ b/internal/entry/beacons.go
@@ -106,7 +106,7 @@
 	isFresh := d.forwardsChanges() && confirmed.Sub(last.confirmedAt) >= minConfirmationGain
 	isStatementChanged := d.statementsChanged.Swap(false)
 	if isStatementChanged {
-		d.limitBeaconsLeft = limitBeaconsAfterChange
+		d.statementBeaconsLeft = statementBeaconsAfterChange
 	}
 	if !isUrgent && !isFresh && !isStatementChanged && now.Sub(last.sentAt) < topicBeaconPeriod {
 		return false
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -122,10 +122,10 @@
 	// uses these two.
 	lastBeaconHadRequests bool
 	observationsDueAt     time.Time
-	// limitBeaconsLeft is the number of successive full beacons that must carry the limits
-	// of targets after a change. fullBeacons and limitBeacons count the full beacons and
+	// statementBeaconsLeft is the number of successive full beacons that must carry the limits
+	// and departures of targets after a change. fullBeacons and limitBeacons count the full beacons and
 	// those with limits. Only the beacon loop uses these three.
-	limitBeaconsLeft          int
+	statementBeaconsLeft      int
 	fullBeacons, limitBeacons uint64
 	// rowsRequestedAt is when a relay was last asked for member rows of steered hosts that this host lacks.
 	rowsRequestedAt time.Time
--- a/internal/entry/departures.go
+++ b/internal/entry/departures.go
@@ -42,13 +42,13 @@
 	}
 }
 
-// warnOfDeparture logs a statement that has no effect, at most once in limitWarningPeriod
+// warnOfDeparture logs a statement that has no effect, at most once in statementWarningPeriod
 // for each target.
 func (s *service) warnOfDeparture(name, text, source string) {
 	s.metrics.unusualDepartures.Inc()
 	now := time.Now()
 	s.mu.Lock()
-	isDue := now.Sub(s.departureWarnedAt[name]) >= limitWarningPeriod
+	isDue := now.Sub(s.departureWarnedAt[name]) >= statementWarningPeriod
 	if isDue {
 		s.departureWarnedAt[name] = now
 	}
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -15,21 +15,21 @@
 )
 
 const (
-	// limitFromAnswer and limitFromProbe are the sources of a limit that this host got from
-	// the target itself. Otherwise the source is the name of the host that sent it.
-	limitFromAnswer = "Answer"
-	limitFromProbe  = "Probe"
-	// limitWarningPeriod is the least time between two warnings about the limit of a target.
-	limitWarningPeriod = 10 * time.Second
+	// statedInAnswer and statedInProbe are the sources of a limit or departure that this host
+	// got from the target itself. Otherwise the source is the name of the host that sent it.
+	statedInAnswer = "Answer"
+	statedInProbe  = "Probe"
+	// statementWarningPeriod is the least time between two warnings about what a target states.
+	statementWarningPeriod = 10 * time.Second
 	// maxSharedLimits is about the largest number of limits in a beacon, which take a kB. If
 	// there are more, successive beacons carry different ones.
 	maxSharedLimits = 64
-	// limitBeaconEvery is the number of full beacons of which one carries the limits of
-	// targets while none changes, for hosts that have just started.
-	limitBeaconEvery = 5
-	// limitBeaconsAfterChange is the number of full beacons with limits after a change,
-	// because some datagrams are lost.
-	limitBeaconsAfterChange = 3
+	// statementBeaconEvery is the number of full beacons of which one carries the limits and
+	// departures of targets while none changes, for hosts that have just started.
+	statementBeaconEvery = 5
+	// statementBeaconsAfterChange is the number of full beacons with limits and departures
+	// after a change, because some datagrams are lost.
+	statementBeaconsAfterChange = 3
 )
 
 // recordStatement counts what an answer of a target states about its limit, and warns if that
@@ -47,7 +47,7 @@
 	s.metrics.unusualLimits.Inc()
 	now := time.Now()
 	s.mu.Lock()
-	isDue := now.Sub(s.limitWarnedAt[target]) >= limitWarningPeriod
+	isDue := now.Sub(s.limitWarnedAt[target]) >= statementWarningPeriod
 	if isDue {
 		s.limitWarnedAt[target] = now
 	}
@@ -59,7 +59,7 @@
 }
 
 func (s *service) limitCounter(source string) *metrics.Counter {
-	if source == limitFromProbe {
+	if source == statedInProbe {
 		return s.metrics.limitedProbes
 	}
 	return s.metrics.limitedAnswers
@@ -131,10 +131,10 @@
 // limits and that they leave, if it is the turn of these.
 func (d *Daemon) withStatements(now time.Time, message beacon.Message, services []*service) beacon.Message {
 	d.fullBeacons++
-	if d.limitBeaconsLeft == 0 && d.fullBeacons%limitBeaconEvery > 0 {
+	if d.statementBeaconsLeft == 0 && d.fullBeacons%statementBeaconEvery > 0 {
 		return message
 	}
-	d.limitBeaconsLeft = max(d.limitBeaconsLeft-1, 0)
+	d.statementBeaconsLeft = max(d.statementBeaconsLeft-1, 0)
 	d.limitBeacons++
 	return message.WithLimits(d.limitsForBeacon(now, services)).WithDepartures(departuresForBeacon(services))
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -289,7 +289,7 @@
 		return result
 	}
 	result.answer = answer
-	s.recordDeparture(grant.Target, grant.TargetStartedAt, sentAt, answer.Departure, limitFromAnswer)
+	s.recordDeparture(grant.Target, grant.TargetStartedAt, sentAt, answer.Departure, statedInAnswer)
 	result.prefix, err = io.ReadAll(io.LimitReader(answer.Body, maxBufferedAnswerBytes+1))
 	result.latency = time.Since(sentAt)
 	if err != nil {
@@ -315,7 +315,7 @@
 		return true, nil
 	}
 	if result.answer != nil {
-		r.service.recordStatement(result.target, result.answer.Limit, limitFromAnswer)
+		r.service.recordStatement(result.target, result.answer.Limit, statedInAnswer)
 	}
 	r.service.finish(r.id, result.attempt, outcome)
 	if verdictOf(result) != fault.NotRun {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -281,7 +281,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.deliverActions(s.pool.Finish(now, id, attempt, outcome))
-	s.announceLimitChanges(now, limitFromAnswer)
+	s.announceLimitChanges(now, statedInAnswer)
 }
 
 // retry requests another attempt from the pool and reports whether it is allowed.
@@ -390,7 +390,7 @@
 		s.pool.ProbedLimit(now, name, sent, *named)
 	}
 	s.deliverActions(s.pool.Probed(now, name, report))
-	s.announceLimitChanges(now, limitFromProbe)
+	s.announceLimitChanges(now, statedInProbe)
 }
 
 func (s *service) close() {
--- a/internal/entry/timers.go
+++ b/internal/entry/timers.go
@@ -97,9 +97,9 @@
 	s.metrics.probes.Inc()
 	sent := time.Now()
 	result := client.Probe(d.ctx, s.name, address, name, probeTimeout)
-	s.recordDeparture(name, startedAt, sent, result.Departure, limitFromProbe)
+	s.recordDeparture(name, startedAt, sent, result.Departure, statedInProbe)
 	if result.Limit != nil {
-		s.recordStatement(name, *result.Limit, limitFromProbe)
+		s.recordStatement(name, *result.Limit, statedInProbe)
 	}
 	if result.Report == nil {
 		d.events.Add(event.Event{Kind: "ProbeFailed", Service: s.name, Target: name})
