entry, beacon: one interface for facts that hosts share; beacons carry facts of further kinds

Change: a sharer adds what it knows to full beacons and learns from those of others. Limits and departures are the first two; the daemon has one field for all of them. The wire format of limits and departures is as before.

--- a/internal/beacon/message.go
+++ b/internal/beacon/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -45,6 +46,8 @@
 	// Departures are the targets that have said that they leave, to the sender or to
 	// another host.
 	Departures []ServiceDepartures
+	// Shared are facts of further kinds that the sender knows, also from other hosts.
+	Shared []SharedFacts
 }
 
 // WithObservations returns a copy of the message that carries observations of targets.
@@ -71,6 +74,18 @@
 	return m
 }
 
+// WithShared returns a copy of the message that also carries facts of a further kind. Lists
+// without facts are left out.
+func (m Message) WithShared(facts ...SharedFacts) Message {
+	m.Shared = slices.Clone(m.Shared)
+	for i := range facts {
+		if len(facts[i].Facts) > 0 {
+			m.Shared = append(m.Shared, facts[i])
+		}
+	}
+	return m
+}
+
 // TopicExtent states how far the sender has read a topic.
 type TopicExtent struct {
 	Topic string
@@ -133,6 +148,25 @@
 	StartedUntil time.Time
 }
 
+// SharedFacts holds facts of one kind about the subjects of one scope.
+type SharedFacts struct {
+	// Kind is the name of the part of an entry host that gives the facts their meaning.
+	Kind string
+	// Scope is the service or organisation that the subjects belong to, or empty.
+	Scope string
+	Facts []SharedFact
+}
+
+// SharedFact is one short fact about a subject.
+type SharedFact struct {
+	// Subject is a 32-bit hash of the name of the subject, such as the TargetID of a target.
+	Subject uint32
+	// Value has a meaning that depends on the kind.
+	Value uint64
+	// Age is the time since the fact was last confirmed.
+	Age time.Duration
+}
+
 // TargetID returns a 32-bit hash of a target's name, which stands for the name in
 // beacons. If two targets of a service have the same hash, the observations of one
 // may be counted for the other. Requests may then go to a slower target, but never
@@ -158,6 +192,9 @@
 	for i := range m.Departures {
 		wire.Departures = append(wire.Departures, encodeDepartures(&m.Departures[i]))
 	}
+	for i := range m.Shared {
+		wire.Shared = append(wire.Shared, encodeShared(&m.Shared[i]))
+	}
 	encoded, err := proto.Marshal(wire)
 	return encoded, eris.Wrap(err, "encoding a beacon")
 }
@@ -206,6 +243,9 @@
 	for _, service := range wire.GetDepartures() {
 		m.Departures = append(m.Departures, decodeDepartures(service))
 	}
+	for _, shared := range wire.GetShared() {
+		m.Shared = append(m.Shared, decodeShared(shared))
+	}
 	return m, nil
 }
 
@@ -255,6 +295,28 @@
 	return s
 }
 
+func encodeShared(s *SharedFacts) *peerpb.SharedFacts {
+	wire := &peerpb.SharedFacts{Kind: s.Kind, Scope: s.Scope}
+	for _, f := range s.Facts {
+		wire.Subjects = append(wire.Subjects, f.Subject)
+		wire.Values = append(wire.Values, f.Value)
+		wire.AgeMillis = append(wire.AgeMillis, toMillis(f.Age))
+	}
+	return wire
+}
+
+// decodeShared joins the lists of the wire format to one element per fact. Longer lists are
+// cut to the shortest.
+func decodeShared(wire *peerpb.SharedFacts) SharedFacts {
+	s := SharedFacts{Kind: wire.GetKind(), Scope: wire.GetScope()}
+	for i := range min(len(wire.GetSubjects()), len(wire.GetValues()), len(wire.GetAgeMillis())) {
+		s.Facts = append(s.Facts, SharedFact{
+			Subject: wire.GetSubjects()[i], Value: wire.GetValues()[i], Age: time.Duration(wire.GetAgeMillis()[i]) * time.Millisecond,
+		})
+	}
+	return s
+}
+
 // decodeObservations joins the lists of the wire format, one per field, to one
 // observation per target. The number of observations is the length of the shortest
 // list other than the failed shares, and longer lists are cut to it. If there are fewer
--- a/internal/beacon/message_test.go
+++ b/internal/beacon/message_test.go
@@ -21,6 +21,7 @@
 		Departures: []beacon.ServiceDepartures{{Service: "reservas", Targets: []beacon.TargetDeparture{
 			{ID: beacon.TargetID("t1"), StartedUntil: time.UnixMilli(1_700_000_000_123)}, {ID: beacon.TargetID("t2"), StartedUntil: time.UnixMilli(0)},
 		}}},
+		Shared: []beacon.SharedFacts{{Kind: "Cold", Scope: "reservas", Facts: []beacon.SharedFact{{Subject: beacon.TargetID("t1"), Value: 7, Age: 20 * time.Millisecond}}}},
 	}
 }
 
--- a/internal/entry/beacons.go
+++ b/internal/entry/beacons.go
@@ -91,7 +91,7 @@
 
 // isFullBeaconDue reports whether a beacon to the whole fan-out is due, and if so
 // records it in last and updates the fan-out. It is due after topicBeaconPeriod, after a
-// change of what a target states, and at once if isUrgent. Outside a full mesh it is also due on a relay once the last
+// change of a shared fact, and at once if isUrgent. Outside a full mesh it is also due on a relay once the last
 // confirmation of a topic is more recent by minConfirmationGain than the one in the last
 // full beacon, because each relay on the way adds to the age of the confirmation.
 func (d *Daemon) isFullBeaconDue(now time.Time, isUrgent bool, last *fullBeacon) bool {
@@ -104,11 +104,8 @@
 		}
 	}
 	isFresh := d.forwardsChanges() && confirmed.Sub(last.confirmedAt) >= minConfirmationGain
-	isStatementChanged := d.statementsChanged.Swap(false)
-	if isStatementChanged {
-		d.statementBeaconsLeft = statementBeaconsAfterChange
-	}
-	if !isUrgent && !isFresh && !isStatementChanged && now.Sub(last.sentAt) < topicBeaconPeriod {
+	isSharedChanged := d.sharing.takeChange()
+	if !isUrgent && !isFresh && !isSharedChanged && now.Sub(last.sentAt) < topicBeaconPeriod {
 		return false
 	}
 	*last = fullBeacon{sentAt: now, confirmedAt: confirmed}
@@ -164,7 +161,7 @@
 	requesters := d.observationRequesters(now, receivers.far)
 	d.mu.Unlock()
 	if isFull {
-		message = d.withStatements(now, message, services)
+		message = d.sharing.addTo(now, services, message)
 		d.sendBeacon(&message, receivers.rest)
 	}
 	if len(receivers.near)+len(receivers.far) == 0 {
@@ -239,42 +236,32 @@
 	services := d.servicesIn(m)
 	forwardsChanges := d.forwardsChanges()
 	d.mu.Unlock()
-	isChanged := false
 	for i := range m.Services {
 		if s := services[m.Services[i].Service]; s != nil {
 			s.mergeObservations(now, m.Sender, &m.Services[i])
 		}
 	}
-	for i := range m.Limits {
-		if s := services[m.Limits[i].Service]; s != nil && s.mergeLimits(now, m.Sender, &m.Limits[i]) {
-			isChanged = true
-		}
-	}
-	for i := range m.Departures {
-		if s := services[m.Departures[i].Service]; s != nil && s.mergeDepartures(now, m.Sender, &m.Departures[i]) {
-			isChanged = true
-		}
-	}
-	if isChanged && forwardsChanges {
-		d.statementsChanged.Store(true)
+	if d.sharing.learn(now, d.serviceNamed, m) && forwardsChanges {
+		d.sharing.announce()
 	}
 }
 
-// servicesIn returns the services that a beacon mentions and this host has, by name; d.mu is held.
+// servicesIn returns the services that a beacon observes and this host has, by name; d.mu is held.
 func (d *Daemon) servicesIn(m *beacon.Message) map[string]*service {
-	services := make(map[string]*service, len(m.Services)+len(m.Limits)+len(m.Departures))
+	services := make(map[string]*service, len(m.Services))
 	for i := range m.Services {
 		services[m.Services[i].Service] = d.services[m.Services[i].Service]
 	}
-	for i := range m.Limits {
-		services[m.Limits[i].Service] = d.services[m.Limits[i].Service]
-	}
-	for i := range m.Departures {
-		services[m.Departures[i].Service] = d.services[m.Departures[i].Service]
-	}
 	return services
 }
 
+// serviceNamed returns a service of this host, nil if there is none of that name.
+func (d *Daemon) serviceNamed(name string) *service {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.services[name]
+}
+
 // receivedBeaconBytes is the assumed size of a received beacon in the count of control traffic.
 const receivedBeaconBytes = 200
 
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -122,11 +122,6 @@
 	// uses these two.
 	lastBeaconHadRequests bool
 	observationsDueAt     time.Time
-	// statementBeaconsLeft is the number of successive full beacons that must carry the limits
-	// and departures of targets after a change. fullBeacons and limitBeacons count the full beacons and
-	// those with limits. Only the beacon loop uses these three.
-	statementBeaconsLeft      int
-	fullBeacons, limitBeacons uint64
 	// rowsRequestedAt is when a relay was last asked for member rows of steered hosts that this host lacks.
 	rowsRequestedAt time.Time
 
@@ -151,9 +146,8 @@
 	endRequestsOnce sync.Once
 	// draining says that Leave was called.
 	draining atomic.Bool
-	// statementsChanged is set if other hosts must be told of a change of a target's limit or
-	// that a target leaves.
-	statementsChanged atomic.Bool
+	// sharing holds the parts that exchange short facts with other hosts.
+	sharing sharing
 	// lastRequestID is the last ID that a request got in a pool.
 	lastRequestID atomic.Uint64
 
@@ -205,6 +199,7 @@
 		cancel: cancel,
 	}
 	d.counters = newCounters(d.metrics)
+	d.sharing.sharers = []sharer{&sharedLimits{}, sharedDepartures{}}
 	d.metrics.NewGauge("curranttiller_control_bytes", func() float64 { return float64(control.Load()) })
 	d.members = member.New(d.selfInfo(), d.timing(), incarnation)
 	// Without a store or without seeds, the membership table counts as settled from the start.
--- a/internal/entry/departures.go
+++ b/internal/entry/departures.go
@@ -37,7 +37,7 @@
 	defer s.mu.Unlock()
 	s.deliverActions(s.pool.ObserveDeparture(now, name, startedAt, sent))
 	for _, change := range s.pool.TakeDepartureChanges() {
-		s.daemon.statementsChanged.Store(true)
+		s.daemon.sharing.announce()
 		s.logDeparture(&change, source)
 	}
 }
@@ -100,12 +100,27 @@
 	return departures
 }
 
-func departuresForBeacon(services []*service) []beacon.ServiceDepartures {
+// sharedDepartures tells other hosts which targets have said that they leave.
+type sharedDepartures struct{}
+
+// share implements sharer.
+func (sharedDepartures) share(_ time.Time, services []*service, message beacon.Message) beacon.Message {
 	var all []beacon.ServiceDepartures
 	for _, s := range services {
 		if departures := s.knownDepartures(); len(departures) > 0 {
 			all = append(all, beacon.ServiceDepartures{Service: s.name, Targets: departures})
 		}
 	}
-	return all
+	return message.WithDepartures(all)
+}
+
+// learn implements sharer.
+func (sharedDepartures) learn(now time.Time, services serviceLookup, message *beacon.Message) bool {
+	isChanged := false
+	for i := range message.Departures {
+		if s := services(message.Departures[i].Service); s != nil && s.mergeDepartures(now, message.Sender, &message.Departures[i]) {
+			isChanged = true
+		}
+	}
+	return isChanged
 }
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -24,12 +24,6 @@
 	// maxSharedLimits is about the largest number of limits in a beacon, which take a kB. If
 	// there are more, successive beacons carry different ones.
 	maxSharedLimits = 64
-	// statementBeaconEvery is the number of full beacons of which one carries the limits and
-	// departures of targets while none changes, for hosts that have just started.
-	statementBeaconEvery = 5
-	// statementBeaconsAfterChange is the number of full beacons with limits and departures
-	// after a change, because some datagrams are lost.
-	statementBeaconsAfterChange = 3
 )
 
 // recordStatement counts what an answer of a target states about its limit, and warns if that
@@ -69,7 +63,7 @@
 // loop tell them to other hosts; s.mu is held.
 func (s *service) announceLimitChanges(now time.Time, source string) {
 	for _, change := range s.pool.TakeLimitChanges() {
-		s.daemon.statementsChanged.Store(true)
+		s.daemon.sharing.announce()
 		s.logLimitChange(now, &change, source)
 	}
 }
@@ -127,27 +121,38 @@
 	s.limitsInForce.Store(inForce)
 }
 
-// withStatements adds to a full beacon what targets have stated in their answers, their
-// limits and that they leave, if it is the turn of these.
-func (d *Daemon) withStatements(now time.Time, message beacon.Message, services []*service) beacon.Message {
-	d.fullBeacons++
-	if d.statementBeaconsLeft == 0 && d.fullBeacons%statementBeaconEvery > 0 {
-		return message
+// sharedLimits tells other hosts the limits that targets name.
+type sharedLimits struct {
+	// turn counts the beacons with limits. Only the beacon loop uses it.
+	turn uint64
+}
+
+// share implements sharer.
+func (l *sharedLimits) share(now time.Time, services []*service, message beacon.Message) beacon.Message {
+	l.turn++
+	return message.WithLimits(selectLimits(limitsOf(now, services), l.turn))
+}
+
+// learn implements sharer.
+func (l *sharedLimits) learn(now time.Time, services serviceLookup, message *beacon.Message) bool {
+	isChanged := false
+	for i := range message.Limits {
+		if s := services(message.Limits[i].Service); s != nil && s.mergeLimits(now, message.Sender, &message.Limits[i]) {
+			isChanged = true
+		}
 	}
-	d.statementBeaconsLeft = max(d.statementBeaconsLeft-1, 0)
-	d.limitBeacons++
-	return message.WithLimits(d.limitsForBeacon(now, services)).WithDepartures(departuresForBeacon(services))
+	return isChanged
 }
 
-// limitsForBeacon returns the limits of the targets of all services that a beacon carries.
-func (d *Daemon) limitsForBeacon(now time.Time, services []*service) []beacon.ServiceLimits {
+// limitsOf returns the limits of the targets of all services.
+func limitsOf(now time.Time, services []*service) []beacon.ServiceLimits {
 	var all []beacon.ServiceLimits
 	for _, s := range services {
 		if limits := s.knownLimits(now); len(limits) > 0 {
 			all = append(all, beacon.ServiceLimits{Service: s.name, Targets: limits})
 		}
 	}
-	return selectLimits(all, d.limitBeacons)
+	return all
 }
 
 // selectLimits divides the limits into parts of about maxSharedLimits, and returns the part
--- a/internal/entry/limits_test.go
+++ b/internal/entry/limits_test.go
@@ -44,7 +44,7 @@
 		if !plan.IsRelay && h.Capacity < 100 {
 			receivers = 0 // sends no periodic beacons
 		}
-		sent := float64(receivers*(len(with)-len(without))) / (statementBeaconEvery * topicBeaconPeriod.Seconds())
+		sent := float64(receivers*(len(with)-len(without))) / (sharingBeaconEvery * topicBeaconPeriod.Seconds())
 		mean += sent / float64(hosts)
 		most = max(most, sent)
 	}
