--- a/internal/route/request.go
+++ b/internal/route/request.go
@@ -12,6 +12,7 @@
 
 	"gitlab.com/curranttiller/curranttiller/pkg/fault"
 	"gitlab.com/curranttiller/curranttiller/pkg/header"
+	"gitlab.com/curranttiller/curranttiller/pkg/orgs"
 	"gitlab.com/curranttiller/curranttiller/pkg/table"
 )
 
@@ -42,6 +43,9 @@
 	// Terms are the settings of the operator's route for the request, such as the number
 	// of attempts. They are nil if there are no routes.
 	Terms *table.Terms
+	// Organisation is the organisation that holds the caller's key. It is nil if there are no
+	// organisations or if the route needs no key.
+	Organisation *orgs.Organisation
 	// Forwarded is set if another entry host forwarded the request. It is then not
 	// forwarded again.
 	Forwarded bool
