choose, entry: requests bring the name and rank of their organisation

The pool gets OrganisationPriority and Organisation beside Priority, so that the order of waiting requests and fairness can use them. The order itself is unchanged. Measured: builds only.

--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -114,6 +114,10 @@
 		arrival.Priority = request.Terms.Priority
 		arrival.Objective = request.Terms.Objective
 	}
+	if request.Organisation != nil {
+		arrival.Organisation = request.Organisation.Name
+		arrival.OrganisationPriority = request.Organisation.Priority
+	}
 	r.decisions = s.arrive(arrival)
 	defer r.release()
 	won, failed := r.loop(ctx)
--- a/pkg/choose/types.go
+++ b/pkg/choose/types.go
@@ -85,6 +85,11 @@
 	// Priority orders waiting requests. Lower values are granted first, and zero is the most urgent.
 	// The policy Speed first compares how likely the requests are to meet their objective.
 	Priority int
+	// OrganisationPriority is the rank of the caller's organisation. It goes before Priority,
+	// lower values first. It is zero without an organisation.
+	OrganisationPriority int
+	// Organisation is the name of the caller's organisation; empty if there is none.
+	Organisation string
 	// Patience is the time limit that the caller sent with this try of the request;
 	// zero means none. Deadline may be earlier because of other limits.
 	Patience time.Duration
