--- a/internal/entry/activate.go
+++ b/internal/entry/activate.go
@@ -34,7 +34,7 @@
 	if routes == nil || (d.routes != nil && routes.Version() <= d.routes.Version()) {
 		return
 	}
-	d.routes = routes
+	d.replaceRoutes(routes)
 	for i := range documents {
 		d.activateDocument(&documents[i], routes, now)
 	}
--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -47,6 +47,11 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("curranttiller_requests_failed_total{service=%q,reason=%q,verdict=%q}", service, failed.Reason, failed.Verdict.String())).Inc()
 }
 
+// countRefusedKey counts a request that is refused for its key, by reason.
+func (c *counters) countRefusedKey(reason string) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("curranttiller_keys_refused_total{reason=%q}", reason)).Inc()
+}
+
 func newCounters(set *metrics.Set) counters {
 	return counters{
 		heartbeatsSent:    set.NewCounter("curranttiller_heartbeats_sent_total"),
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -87,6 +87,8 @@
 	targets       *followedTopic
 	routes        *table.Table
 	splitter      *table.Splitter
+	// routesReplaced is closed when other routes come into force, and then replaced.
+	routesReplaced chan struct{}
 	// joinPhase says whether the membership table has settled, which means that it is
 	// complete enough to compute the steered hosts from it.
 	joinPhase member.JoinPhase
@@ -188,12 +190,13 @@
 		observationsWantedAt: make(map[string]time.Time),
 		relayReportAt:        make(map[string]time.Time),
 
-		configuration: newFollowedTopic(TopicConfiguration, settings.FailureDomain),
-		targets:       newFollowedTopic(TopicTargets, settings.FailureDomain),
-		splitter:      table.NewSplitter(rand.New(rand.NewPCG(incarnation, 0)).Float64),
-		jitter:        rand.New(rand.NewPCG(incarnation, 1)).Float64(),
-		knownHosts:    max(len(settings.Peers), 1),
-		reachedHosts:  1,
+		configuration:  newFollowedTopic(TopicConfiguration, settings.FailureDomain),
+		targets:        newFollowedTopic(TopicTargets, settings.FailureDomain),
+		routesReplaced: make(chan struct{}),
+		splitter:       table.NewSplitter(rand.New(rand.NewPCG(incarnation, 0)).Float64),
+		jitter:         rand.New(rand.NewPCG(incarnation, 1)).Float64(),
+		knownHosts:     max(len(settings.Peers), 1),
+		reachedHosts:   1,
 
 		ctx:    ctx,
 		cancel: cancel,
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -44,6 +44,9 @@
 	// rescued is set once the rescue timer has fired, even if no attempt was sent for it.
 	rescued     bool
 	firstSentAt time.Time
+	// routesReplaced is closed when the key of the request must be checked again. It is nil
+	// for a request without an organisation.
+	routesReplaced <-chan struct{}
 	// mayHaveRun is set once an attempt has ended with a verdict other than NotRun.
 	mayHaveRun bool
 }
@@ -118,6 +121,9 @@
 		arrival.Organisation = request.Organisation.Name
 		arrival.OrganisationPriority = request.Organisation.Priority
 	}
+	if failed := r.checkKey(); failed != nil {
+		return failed
+	}
 	r.decisions = s.arrive(arrival)
 	defer r.release()
 	won, failed := r.loop(ctx)
@@ -168,11 +174,13 @@
 	for {
 		select {
 		case d := <-r.decisions:
-			if d.refusal == "" {
-				r.startAttempt(ctx, d.grant, hedge, rescue)
-			} else if r.running == 0 {
-				// A refusal while another attempt is running has no effect.
-				return nil, r.refusalFault(d.refusal).WithRetryAfter(d.retryAfter)
+			if failed := r.handleDecision(ctx, d, hedge, rescue); failed != nil {
+				return nil, failed
+			}
+		case <-r.routesReplaced:
+			// An attempt that is running may end. No further one is started without a key.
+			if failed := r.checkKey(); failed != nil && r.running == 0 {
+				return nil, failed
 			}
 		case result := <-r.results:
 			r.running--
@@ -193,6 +201,28 @@
 	}
 }
 
+// handleDecision starts an attempt that the pool granted, unless its key was taken away. The
+// result is nil unless the request has failed: without another attempt that is running,
+// after a refusal or for its key.
+func (r *activeRequest) handleDecision(ctx context.Context, d decision, hedge, rescue *time.Timer) *fault.Error {
+	var failed *fault.Error
+	if d.refusal != "" {
+		if r.running == 0 {
+			failed = r.refusalFault(d.refusal).WithRetryAfter(d.retryAfter)
+		}
+		return failed
+	}
+	if failed = r.checkKey(); failed == nil {
+		r.startAttempt(ctx, d.grant, hedge, rescue)
+		return nil
+	}
+	r.service.returnGrant(r.id, d.grant)
+	if r.running > 0 {
+		return nil
+	}
+	return failed
+}
+
 func newStoppedTimer() *time.Timer {
 	timer := time.NewTimer(time.Hour)
 	timer.Stop()
--- a/internal/entry/requestlog.go
+++ b/internal/entry/requestlog.go
@@ -15,6 +15,7 @@
 		slog.String("Request", r.request.ID),
 		slog.String("Service", r.service.name),
 		slog.String("Class", r.class()),
+		slog.String("Organisation", organisationName(r.request)),
 		slog.String("Target", grant.Target),
 		slog.Int("Attempt", grant.Attempt),
 		slog.String("Cause", grant.Cause),
@@ -30,6 +31,14 @@
 	}
 }
 
+// organisationName returns the name of the organisation of a request; empty without one.
+func organisationName(request *route.Request) string {
+	if request.Organisation == nil {
+		return ""
+	}
+	return request.Organisation.Name
+}
+
 // class returns the class that the route gives the request, or an empty string without a route.
 func (r *activeRequest) class() string {
 	if r.request.Terms == nil {
@@ -71,6 +80,7 @@
 	d.requestLog.Warn("request failed",
 		slog.String("Request", request.ID),
 		slog.String("Service", request.Service),
+		slog.String("Organisation", organisationName(request)),
 		slog.String("Reason", failed.Reason),
 		slog.String("Verdict", failed.Verdict.String()),
 		slog.Int64("DeadlineInMillis", time.Until(request.Deadline).Milliseconds()),
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -7,6 +7,7 @@
 	"gitlab.com/curranttiller/curranttiller/pkg/event"
 	"gitlab.com/curranttiller/curranttiller/pkg/fault"
 	"gitlab.com/curranttiller/curranttiller/pkg/member"
+	"gitlab.com/curranttiller/curranttiller/pkg/orgs"
 	"gitlab.com/curranttiller/curranttiller/pkg/steer"
 	"gitlab.com/curranttiller/curranttiller/pkg/table"
 )
@@ -15,12 +16,18 @@
 type Destination struct {
 	Service string
 	Terms   *table.Terms
+	// HasOrganisations says that the configuration has organisations. The request then
+	// belongs to Organisation, by the key with the digest Key, or to none if its route is
+	// public.
+	HasOrganisations bool
+	Organisation     *orgs.Organisation
+	Key              orgs.Digest
 }
 
-// Route finds the destination of a request by its HTTP host and path. If no route
-// matches, the reason is NoRoute, or RouteMayBeNewer if the configuration is older than
-// noRouteMaxAge.
-func (d *Daemon) Route(host, path string) (Destination, *fault.Error) {
+// Route finds the destination of a request by its HTTP host, its path and the keys that it
+// carries. If no route matches, the reason is NoRoute, or RouteMayBeNewer if the
+// configuration is older than noRouteMaxAge.
+func (d *Daemon) Route(host, path string, keys []string) (Destination, *fault.Error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.ready {
@@ -33,11 +40,15 @@
 		}
 		return Destination{}, fault.New(fault.NotRun, http.StatusNotFound, "NoRoute")
 	}
-	service := d.splitter.Next(route)
-	if service == "" {
+	destination := Destination{Terms: &route.Terms}
+	if failed := d.assignOrganisation(&destination, route, keys); failed != nil {
+		return Destination{}, failed
+	}
+	destination.Service = d.splitter.Next(route)
+	if destination.Service == "" {
 		return Destination{}, fault.New(fault.NotRun, http.StatusServiceUnavailable, "RouteWithoutService")
 	}
-	return Destination{Service: service, Terms: &route.Terms}, nil
+	return destination, nil
 }
 
 // IsReady reports whether callers may be sent to this host.
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -317,12 +317,24 @@
 	delete(s.decisions, id)
 	for len(decisions) > 0 {
 		if unused := <-decisions; unused.refusal == "" {
-			s.deliverActions(s.pool.Finish(time.Now(), id, unused.grant.Attempt, choose.Outcome{Kind: choose.Unused}))
+			s.freeGrant(id, unused.grant)
 		}
 	}
 	s.deliverActions(s.pool.Release(time.Now(), id))
 }
 
+// returnGrant frees the slot of a grant that is not used.
+func (s *service) returnGrant(id uint64, grant choose.Grant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.freeGrant(id, grant)
+}
+
+// freeGrant is returnGrant with s.mu held.
+func (s *service) freeGrant(id uint64, grant choose.Grant) {
+	s.deliverActions(s.pool.Finish(time.Now(), id, grant.Attempt, choose.Outcome{Kind: choose.Unused}))
+}
+
 // transport returns the client and the address of a target. useNew is set if there are
 // enough connections to give each non-idempotent request a new one.
 func (s *service) transport(name string) (client *target.Client, address string, useNew bool) {
--- a/internal/route/request.go
+++ b/internal/route/request.go
@@ -46,6 +46,8 @@
 	// Organisation is the organisation that holds the caller's key. It is nil if there are no
 	// organisations or if the route needs no key.
 	Organisation *orgs.Organisation
+	// Key is the digest of that key, by which it is checked again before each attempt.
+	Key orgs.Digest
 	// Forwarded is set if another entry host forwarded the request. It is then not
 	// forwarded again.
 	Forwarded bool
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"gitlab.com/curranttiller/curranttiller/pkg/orgs"
 )
 
 // Share is the share of a route's requests that one service gets.
@@ -41,12 +43,16 @@
 	// Prefix is the start of the paths of the requests. It begins and ends with a slash.
 	Prefix string
 	Shares []Share
+	// Public says that the requests need no key of an organisation.
+	Public bool
 }
 
 // Table holds one version of all routes. It is immutable.
 type Table struct {
 	version uint64
 	routes  map[string][]Route
+	// organisations is nil if there are none.
+	organisations *orgs.Registry
 }
 
 // New returns a table of routes. Of two routes with the same host name and prefix, the first one is used.
@@ -67,6 +73,18 @@
 	return t.version
 }
 
+// WithOrganisations returns a copy with the organisations of the same version of the configuration.
+func (t *Table) WithOrganisations(organisations *orgs.Registry) *Table {
+	changed := *t
+	changed.organisations = organisations
+	return &changed
+}
+
+// Organisations returns the organisations whose keys requests need, or nil if requests need no keys.
+func (t *Table) Organisations() *orgs.Registry {
+	return t.organisations
+}
+
 // Match returns the route for a host name, with or without a port, and a path. It is
 // the one with the longest prefix, or nil if none matches.
 func (t *Table) Match(host, path string) *Route {
