--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -39,7 +39,7 @@
 	if matched.Public {
 		return nil
 	}
-	reason := ""
+	var reason string
 	destination.Organisation, destination.Key, reason = organisations.Assign(keys)
 	if reason == "" {
 		return nil
