--- a/internal/cmds/app.go
+++ b/internal/cmds/app.go
@@ -139,7 +139,8 @@
 func (s streams) fail(err error) int {
 	fmt.Fprintln(s.err, "error:", err)
 	var field *spec.FieldError
-	if errors.As(err, &field) {
+	var file *badFileError
+	if errors.As(err, &field) || errors.As(err, &file) {
 		return ExitBadInput
 	}
 	return ExitFailed
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -411,6 +411,12 @@
 // finalFault returns the error of a request whose last attempt failed, or nil if the
 // target's own answer is to be sent to the caller.
 func (r *activeRequest) finalFault(result *attemptResult) *fault.Error {
+	if verdictOf(result) == fault.NotRun {
+		// Without a key, the caller need not try again.
+		if failed := r.checkKey(); failed != nil {
+			return failed
+		}
+	}
 	if result.err != nil {
 		return result.err
 	}
