platform, table, target: routes are found by the path as it was sent

The path is now matched byte by byte and the same bytes are sent, absolute URIs as path and query; a path that other readers would take for another route gets the strictest terms of both, or 404.

--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"gitlab.com/curranttiller/curranttiller/pkg/choose"
 	"gitlab.com/curranttiller/curranttiller/pkg/fault"
 	"gitlab.com/curranttiller/curranttiller/pkg/limit"
@@ -376,7 +378,10 @@
 	if !strings.HasPrefix(request.URI, "//") {
 		// Opaque keeps net/http from encoding the path and query anew.
 		uri.Opaque = request.URI
-		uri.RawQuery = ""
+		uri.RawQuery, uri.ForceQuery = "", false
+	}
+	if uri.RequestURI() != request.URI {
+		return nil, eris.New("net/http would change the path or query")
 	}
 	outgoing := &http.Request{
 		Method: request.Method,
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -1,7 +1,6 @@
 package table
 
 import (
-	"cmp"
 	"net"
 	"slices"
 	"strings"
@@ -50,20 +49,21 @@
 // Table holds one version of all routes. It is immutable.
 type Table struct {
 	version uint64
-	routes  map[string][]Route
+	hosts   map[string]*hostRoutes
 	// organisations is nil if there are none.
 	organisations *orgs.Registry
 }
 
 // New returns a table of routes. Of two routes with the same host name and prefix, the first one is used.
 func New(version uint64, routes []Route) *Table {
-	t := &Table{version: version, routes: make(map[string][]Route)}
+	lists := make(map[string][]Route)
 	for i := range routes {
 		host := routes[i].Host
-		t.routes[host] = append(t.routes[host], routes[i])
+		lists[host] = append(lists[host], routes[i])
 	}
-	for _, list := range t.routes {
-		slices.SortStableFunc(list, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	t := &Table{version: version, hosts: make(map[string]*hostRoutes, len(lists))}
+	for host, list := range lists {
+		t.hosts[host] = newHostRoutes(list)
 	}
 	return t
 }
@@ -85,16 +85,17 @@
 	return t.organisations
 }
 
-// Match returns the route for a host name, with or without a port, and a path. It is
-// the one with the longest prefix, or nil if none matches.
+// Match returns the route for a host name, with or without a port, and a path as it was
+// sent, without the query. It is the one with the longest prefix that begins the path, byte
+// by byte, or nil if none does. If the path can be read in other ways that lead to other
+// routes, the result has the strictest terms of all these routes, and is nil if one of the
+// ways leads to none.
 func (t *Table) Match(host, path string) *Route {
-	list := t.routes[CanonicalHost(host)]
-	for i := range list {
-		if strings.HasPrefix(path, list[i].Prefix) {
-			return &list[i]
-		}
+	routes, found := t.hosts[CanonicalHost(host)]
+	if !found {
+		return nil
 	}
-	return nil
+	return routes.match(path)
 }
 
 // CanonicalHost returns a host name in lower case, without a port and a final dot.
