facts, entry, platform: a store that returns from an older copy is read again whole

Cause: an offset never went back. After the store had come back from an older copy, reads from the old offset got 410, the newest records then read ended below the own offset and were ignored, and so were all changes below it, which the store gives out again. New versions of the configuration and new targets stayed unknown until the log had grown past the old end.

Change: topics, beacons and requests for facts carry the era of the store.

--- a/internal/entry/beacons.go
+++ b/internal/entry/beacons.go
@@ -206,7 +206,7 @@
 	var extents []beacon.TopicExtent
 	for _, f := range []*followedTopic{d.configuration, d.targets} {
 		if f.topic.IsLoaded() {
-			extents = append(extents, beacon.TopicExtent{Topic: f.name, Through: f.topic.Through(), Age: f.topic.Age(now)})
+			extents = append(extents, beacon.TopicExtent{Topic: f.name, Era: f.topic.Era(), Through: f.topic.Through(), Age: f.topic.Age(now)})
 		}
 	}
 	return extents
@@ -266,14 +266,17 @@
 const receivedBeaconBytes = 200
 
 // applyExtent confirms a topic if the sender has the same offset, and requests the
-// missing facts from the sender if it has a higher one or this host has not read the
-// topic yet; d.mu is held.
+// missing facts from the sender if it has a higher one or a later era, or if this host has
+// not read the topic yet; d.mu is held.
 func (d *Daemon) applyExtent(extent beacon.TopicExtent, address string, now time.Time) {
 	f := d.topicNamed(extent.Topic)
 	if f == nil {
 		return
 	}
-	if extent.Through > f.topic.Through() || !f.topic.IsLoaded() {
+	if extent.Era < f.topic.Era() && f.topic.IsLoaded() {
+		return
+	}
+	if extent.Through > f.topic.Through() || !f.topic.IsLoaded() || f.topic.EndsEra(extent.Era) {
 		if f.behindSince.IsZero() {
 			f.behindSince = now
 		}
@@ -285,7 +288,7 @@
 	if extent.Through == f.topic.Through() {
 		// Confirm lowers the age by which Observe recognises an outage.
 		f.outageRetention.Observe(now, f.topic)
-		f.topic.Confirm(now, extent.Through, extent.Age)
+		f.topic.Confirm(now, extent.Era, extent.Through, extent.Age)
 	}
 }
 
--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -22,9 +22,12 @@
 	hostRowsMalformed *metrics.Counter
 	// readErrors counts the failed reads of the document log or the store.
 	readErrors *metrics.Counter
-	probes     *metrics.Counter
-	forwards   *metrics.Counter
-	replays    *metrics.Counter
+	// eras counts the times that a topic was read again because the store came back from an
+	// older copy.
+	eras     *metrics.Counter
+	probes   *metrics.Counter
+	forwards *metrics.Counter
+	replays  *metrics.Counter
 	// addedLatency is the latency of an answered request minus that of the attempt that won, in seconds.
 	addedLatency *metrics.Histogram
 	beaconsSent  *metrics.Counter
@@ -56,6 +59,7 @@
 		recordsAppended:   set.NewCounter("curranttiller_log_records_appended_total"),
 		hostRowsMalformed: set.NewCounter("curranttiller_host_rows_malformed_total"),
 		readErrors:        set.NewCounter("curranttiller_log_errors_total"),
+		eras:              set.NewCounter("curranttiller_store_eras_total"),
 		probes:            set.NewCounter("curranttiller_probes_total"),
 		forwards:          set.NewCounter("curranttiller_forwards_total"),
 		replays:           set.NewCounter("curranttiller_answers_replayed_total"),
--- a/internal/entry/fetch.go
+++ b/internal/entry/fetch.go
@@ -38,7 +38,7 @@
 		return
 	}
 	f.isFetching = true
-	request := peer.FactsRequest{Topic: f.name, From: f.topic.Through(), Requester: facts.Requester{
+	request := peer.FactsRequest{Topic: f.name, From: f.topic.Through(), Era: f.topic.Era(), Requester: facts.Requester{
 		Address: d.settings.PeerAdvertised, FailureDomain: d.settings.FailureDomain, RedirectFailed: redirectFailed,
 	}}
 	d.mu.Unlock()
@@ -65,8 +65,8 @@
 }
 
 // Facts implements peer.Handler. It answers with the facts from the offset From of the
-// request on. If that is zero, which requests the whole topic, it may redirect the
-// asking host to another one instead. It returns false if this host has not read the topic.
+// request on, or with the whole topic if that belongs to another era. If From is zero or of
+// an earlier era, it may redirect the asking host to another one instead. It returns false if this host has not read the topic.
 func (d *Daemon) Facts(request *peer.FactsRequest) (peer.FactsReply, bool) {
 	now := time.Now()
 	d.mu.Lock()
@@ -75,12 +75,16 @@
 	if f == nil || !f.topic.IsLoaded() {
 		return peer.FactsReply{}, false
 	}
-	if request.From == 0 {
+	from := request.From
+	if request.Era != f.topic.Era() {
+		from = 0
+	}
+	if from == 0 && request.Era <= f.topic.Era() {
 		if elsewhere := f.tree.Redirect(now, &request.Requester, d.steeredPeerAddresses(request.Requester.FailureDomain, now)); elsewhere != "" {
 			return peer.FactsReply{RedirectTo: elsewhere}, true
 		}
 	}
-	return peer.FactsReply{Delta: f.topic.Since(now, request.From)}, true
+	return peer.FactsReply{Delta: f.topic.Since(now, from)}, true
 }
 
 // steeredPeerAddresses returns the peer addresses of the other steered hosts of a
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -194,7 +194,7 @@
 // host does not have it yet or the store no longer keeps all the changes.
 func (d *Daemon) readStore(f *followedTopic) error {
 	d.mu.Lock()
-	from := f.topic.Through()
+	from, era := f.topic.Through(), f.topic.Era()
 	isLoaded := f.topic.IsLoaded()
 	wait := time.Duration(0)
 	if d.readRank == 0 && isLoaded {
@@ -209,6 +209,10 @@
 	err := ErrTrimmed
 	if isLoaded {
 		delta, err = d.adapter.Store.Changes(ctx, f.name, from, wait)
+		if err == nil && delta.Era != era {
+			// The offset belongs to another era.
+			err = ErrTrimmed
+		}
 	}
 	if isTrimmed(err) {
 		d.log.Info("reading the newest records of a topic", "Topic", f.name, "Known", isLoaded, "From", from)
@@ -266,6 +270,9 @@
 	wasLoaded := f.topic.IsLoaded()
 	// Apply lowers the age by which Observe recognises an outage.
 	f.outageRetention.Observe(now, f.topic)
+	if f.topic.EndsEra(delta.Era) && delta.IsSnapshot {
+		d.endEra(f, delta.Era, now)
+	}
 	changed := f.topic.Apply(now, delta)
 	if source == sourceStore && wasLoaded && d.isUnsteered() {
 		// No other host had confirmed the topic. A beacon spares the others their own read.
--- a/internal/entry/storeseeds.go
+++ b/internal/entry/storeseeds.go
@@ -12,10 +12,10 @@
 
 // runStoreSeeds reads seeds from the store while there is no other member in the table,
 // for example because the seeds of the settings have all been replaced. It also announces
-// this host in the store once, when it has become steered. It is enough that the steered
+// this host in the store once in each era of the store, when it has become steered. It is enough that the steered
 // hosts do so, which are few, because a host finds the others through their tables.
 func (d *Daemon) runStoreSeeds() {
-	isAnnounced := false
+	isAnnounced, announcedEra := false, uint64(0)
 	for d.ctx.Err() == nil {
 		d.pause(storeSeedsPeriod)
 		d.mu.Lock()
@@ -25,14 +25,15 @@
 		if isAlone {
 			d.readStoreSeeds()
 		}
-		if !isSteered || isAnnounced {
+		era := d.storeEra()
+		if !isSteered || (isAnnounced && era == announcedEra) {
 			continue
 		}
 		if err := d.announce(); err != nil {
 			d.platLog.Debug("announcing this host in the store failed; retrying", "Error", err.Error())
 			continue
 		}
-		isAnnounced = true
+		isAnnounced, announcedEra = true, era
 	}
 }
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -152,7 +152,7 @@
 		return FactsReply{}, err
 	}
 	message := &peerpb.FactsRequest{
-		Protocol: Protocol, Topic: request.Topic, From: request.From,
+		Protocol: Protocol, Topic: request.Topic, From: request.From, Era: request.Era,
 		AskerAddress: request.Requester.Address, FailureDomain: request.Requester.FailureDomain, Insists: request.Requester.RedirectFailed,
 	}
 	// Many hosts request a new configuration from one host at the same time, and its text
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -124,7 +124,7 @@
 	if err := checkProtocol(request.GetProtocol()); err != nil {
 		return nil, err
 	}
-	reply, found := s.handler.Facts(&FactsRequest{Topic: request.GetTopic(), From: request.GetFrom(), Requester: facts.Requester{
+	reply, found := s.handler.Facts(&FactsRequest{Topic: request.GetTopic(), From: request.GetFrom(), Era: request.GetEra(), Requester: facts.Requester{
 		Address: request.GetAskerAddress(), FailureDomain: request.GetFailureDomain(), RedirectFailed: request.GetInsists(),
 	}})
 	if !found {
--- a/pkg/facts/retention.go
+++ b/pkg/facts/retention.go
@@ -25,11 +25,17 @@
 // Observe recognises an outage by the topic's age, which a delta or confirmation lowers.
 func (r *OutageRetention) Observe(now time.Time, topic *Topic) {
 	if topic.IsLoaded() && topic.Age(now) >= r.minOutageAge {
-		r.retainUntil = now.Add(r.retainFor)
-		r.retained = topic.Facts()
+		r.Retain(now, topic)
 	}
 }
 
+// Retain keeps the current facts of a topic as in an outage. It must be called before the
+// topic is replaced by that of a later era, which lacks what was written last.
+func (r *OutageRetention) Retain(now time.Time, topic *Topic) {
+	r.retainUntil = now.Add(r.retainFor)
+	r.retained = topic.Facts()
+}
+
 // AddRetained returns the topic's current facts together with those that were current
 // in the last outage and are missing now. Once retainFor has passed since the outage,
 // it drops the latter and returns only the current facts.
--- a/pkg/facts/retention_test.go
+++ b/pkg/facts/retention_test.go
@@ -9,6 +9,17 @@
 	"gitlab.com/curranttiller/curranttiller/pkg/facts"
 )
 
+func TestFactsMissingInOlderCopyAreRetained(t *testing.T) {
+	is := is.New(t)
+	topic := facts.NewTopic()
+	retention := facts.NewOutageRetention(2*time.Second, 2*time.Second)
+	topic.Apply(start, &facts.Delta{Through: 2, Facts: []facts.Fact{set("a", 0, "x"), set("b", 1, "y")}})
+	retention.Retain(start, topic)
+	topic.Apply(start, &facts.Delta{Era: 1, Through: 1, IsSnapshot: true, Facts: []facts.Fact{set("a", 0, "x")}})
+	is.Equal(len(retention.AddRetained(start.Add(time.Second), topic.Facts())), 2)
+	is.Equal(len(retention.AddRetained(start.Add(3*time.Second), topic.Facts())), 1)
+}
+
 // TestFactsRemovedInOutageAreRetained guards against dropping targets whose facts expired
 // in the store because they could not renew them during an outage of it.
 func TestFactsRemovedInOutageAreRetained(t *testing.T) {
--- a/pkg/facts/topic.go
+++ b/pkg/facts/topic.go
@@ -23,6 +23,8 @@
 
 // Delta is a part of a topic, read from the store or received from another host.
 type Delta struct {
+	// Era is that of the store to which the offsets belong.
+	Era uint64
 	// Through is the offset after the last record that the delta covers.
 	Through uint64
 	// IsSnapshot says that Facts holds every key that existed at Through, so that other keys are removed.
@@ -40,8 +42,13 @@
 }
 
 // Topic holds the facts of a topic on one host; it is not safe for concurrent use.
+//
+// The offsets of a topic belong to an era of the store. A store that returns from an older
+// copy has lost its last records, gives their offsets out again and begins a new era.
 type Topic struct {
 	byKey map[string]storedFact
+	// era is that of the store to which the offsets belong.
+	era uint64
 	// through is the offset below which all records have been applied.
 	through uint64
 	// confirmedAt is the last time at which the store is known to have had no records
@@ -63,6 +70,17 @@
 	return t.through
 }
 
+// Era returns the era of the store to which the offsets of the topic belong.
+func (t *Topic) Era() uint64 {
+	return t.era
+}
+
+// EndsEra reports whether an era is later than that of the topic. Everything must then be
+// read again.
+func (t *Topic) EndsEra(era uint64) bool {
+	return t.IsLoaded() && era > t.era
+}
+
 // IsLoaded reports whether Apply or Confirm has ever confirmed the topic as complete.
 func (t *Topic) IsLoaded() bool {
 	return !t.confirmedAt.IsZero()
@@ -85,8 +103,16 @@
 // Apply merges a delta and reports whether the facts changed. Records that are older
 // than the stored ones of their keys are ignored. A snapshot that ends before the
 // topic's own offset removes no keys. A delta that is not a snapshot must contain the
-// changes from the topic's offset, or from a lower one, on.
+// changes from the topic's offset, or from a lower one, on. A snapshot of a later era
+// replaces the topic, and other deltas of another era are ignored.
 func (t *Topic) Apply(now time.Time, delta *Delta) bool {
+	if t.EndsEra(delta.Era) && delta.IsSnapshot {
+		return t.replace(now, delta)
+	}
+	if t.IsLoaded() && delta.Era != t.era {
+		return false
+	}
+	t.era = delta.Era
 	changed := false
 	isSnapshot := delta.IsSnapshot && delta.Through >= t.through
 	if isSnapshot {
@@ -101,18 +127,30 @@
 		// A snapshot does not contain the keys that were removed before it.
 		t.removalsPrunedBelow = max(t.removalsPrunedBelow, delta.Through)
 	}
-	t.Confirm(now, delta.Through, delta.Age)
+	t.Confirm(now, delta.Era, delta.Through, delta.Age)
 	t.through = max(t.through, delta.Through)
 	t.pruneRemovals(now)
 	return changed
 }
 
+// replace puts a snapshot of a later era in the place of all facts. It reports a change in
+// any case.
+func (t *Topic) replace(now time.Time, delta *Delta) bool {
+	*t = Topic{byKey: make(map[string]storedFact, len(delta.Facts)), era: delta.Era, through: delta.Through, removalsPrunedBelow: delta.Through}
+	for i := range delta.Facts {
+		t.byKey[delta.Facts[i].Key] = storedFact{Fact: delta.Facts[i]}
+	}
+	t.Confirm(now, delta.Era, delta.Through, delta.Age)
+	return true
+}
+
 // Confirm records that at the given age before now the store had no records at the
-// offset through or later. The caller must have applied all records below that offset.
-// A report with an offset below the topic's own is ignored, since it is older than the topic.
-func (t *Topic) Confirm(now time.Time, through uint64, age time.Duration) {
+// offset through or later of an era. The caller must have applied all records below that offset.
+// A report with an offset below the topic's own is ignored, since it is older than the topic,
+// and so is one of another era.
+func (t *Topic) Confirm(now time.Time, era, through uint64, age time.Duration) {
 	at := now.Add(-age)
-	if through >= t.through && at.After(t.confirmedAt) {
+	if era == t.era && through >= t.through && at.After(t.confirmedAt) {
 		t.confirmedAt = at
 	}
 }
@@ -189,7 +227,7 @@
 // Since returns the changes from an offset on, to be sent to another host. It is a
 // snapshot if the offset is zero or if removals at it or later may have been dropped.
 func (t *Topic) Since(now time.Time, from uint64) Delta {
-	delta := Delta{Through: t.through, IsSnapshot: from < t.removalsPrunedBelow || from == 0, Age: t.Age(now)}
+	delta := Delta{Era: t.era, Through: t.through, IsSnapshot: from < t.removalsPrunedBelow || from == 0, Age: t.Age(now)}
 	for _, stored := range t.byKey {
 		if delta.IsSnapshot && stored.Removed {
 			continue
--- a/pkg/facts/topic_test.go
+++ b/pkg/facts/topic_test.go
@@ -46,6 +46,20 @@
 			{Through: 3, Facts: []facts.Fact{set("a", 1, "x"), set("b", 2, "y")}},
 			{Through: 9, IsSnapshot: true, Facts: []facts.Fact{set("b", 2, "y")}},
 		}, want: "b=y ", through: 9},
+		{name: "snapshot of a later era replaces the topic", deltas: []facts.Delta{
+			{Through: 9, Facts: []facts.Fact{set("a", 8, "lost"), set("b", 2, "y")}},
+			{Era: 1, Through: 4, IsSnapshot: true, Facts: []facts.Fact{set("b", 2, "y"), set("c", 3, "z")}},
+			{Era: 1, Through: 6, Facts: []facts.Fact{set("a", 4, "again"), removed("c", 5)}},
+		}, want: "a=again b=y ", through: 6},
+		{name: "deltas of an earlier era are ignored", deltas: []facts.Delta{
+			{Era: 2, Through: 3, IsSnapshot: true, Facts: []facts.Fact{set("a", 2, "x")}},
+			{Era: 1, Through: 9, IsSnapshot: true, Facts: []facts.Fact{set("a", 8, "lost")}},
+			{Era: 1, Through: 9, Facts: []facts.Fact{set("b", 7, "lost")}},
+		}, want: "a=x ", through: 3},
+		{name: "changes of a later era need a snapshot first", deltas: []facts.Delta{
+			{Through: 3, Facts: []facts.Fact{set("a", 2, "x")}},
+			{Era: 1, Through: 5, Facts: []facts.Fact{set("a", 4, "other")}},
+		}, want: "a=x ", through: 3},
 		{name: "older snapshot removes nothing", deltas: []facts.Delta{
 			{Through: 9, Facts: []facts.Fact{set("a", 8, "x")}},
 			{Through: 5, IsSnapshot: true},
@@ -118,9 +132,11 @@
 	topic := facts.NewTopic()
 	is.True(!topic.IsLoaded())
 	topic.Apply(start, &facts.Delta{Through: 4})
-	topic.Confirm(start.Add(time.Second), 4, 200*time.Millisecond)
+	topic.Confirm(start.Add(time.Second), 0, 4, 200*time.Millisecond)
 	is.Equal(topic.Age(start.Add(time.Second)), 200*time.Millisecond)
-	topic.Confirm(start.Add(2*time.Second), 3, 0) // an offset below that of the topic confirms nothing
+	topic.Confirm(start.Add(2*time.Second), 0, 3, 0) // an offset below that of the topic confirms nothing
+	is.Equal(topic.Age(start.Add(2*time.Second)), 1200*time.Millisecond)
+	topic.Confirm(start.Add(2*time.Second), 1, 4, 0) // another era confirms nothing
 	is.Equal(topic.Age(start.Add(2*time.Second)), 1200*time.Millisecond)
 	topic.MarkStale(start.Add(2*time.Second), time.Minute)
 	is.Equal(topic.Age(start.Add(2*time.Second)), time.Minute)
