target, entry: a late answer casts doubt only on connections to its target while others answer

Cause: each rescue closed all idle connections that had carried no answer since the late request was sent, to all targets.

Change: if three other targets have answered on connections as old as the request within 100 ms, the path works, and only the idle connections to the late target are closed. Otherwise all are, as before.

TestCloseDoubtfulKeepsConnectionsToOthers is new; 30 of 30 runs of both tests pass. The renamed test keeps its cases and bounds.

--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -428,7 +428,7 @@
 // can only go on waiting.
 func (r *activeRequest) rescue() {
 	r.rescued = true
-	r.service.suspect(r.id, r.firstSentAt)
+	r.service.suspect(r.id, r.firstSentAt, r.firstTarget())
 	if !r.request.IsIdempotent() {
 		return
 	}
@@ -438,6 +438,14 @@
 	}
 }
 
+// firstTarget returns the target of the first attempt; empty if none was sent.
+func (r *activeRequest) firstTarget() string {
+	if first, found := r.attempts[1]; found {
+		return first.grant.Target
+	}
+	return ""
+}
+
 // writeAnswer sends the winning answer to the caller. The error is nil or route.ErrTruncated.
 func (r *activeRequest) writeAnswer(w http.ResponseWriter, won *attemptResult) error {
 	answer := won.answer
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -294,12 +294,12 @@
 }
 
 // suspect frees the slots of a request whose answer is late. It also closes the idle
-// connections that have carried no answer since the time sent, at which the request was
-// sent, because they may be dead too.
-func (s *service) suspect(id uint64, sent time.Time) {
+// connections that may be dead too, judged by the time at which the request was first sent
+// and by the target.
+func (s *service) suspect(id uint64, sent time.Time, targetName string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.client.CloseIdleSince(sent)
+	s.client.CloseDoubtful(time.Now(), sent, s.addresses[targetName])
 	s.deliverActions(s.pool.MarkSuspect(time.Now(), id))
 }
 
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -26,6 +26,10 @@
 	keepAliveCount    = 3
 	maxHeaderBytes    = 64 << 10
 	connBufferBytes   = 4 << 10
+	// After an answer is late, the connections to other targets count as working if at least
+	// minAnsweringTargets of these have answered within recentAnswer.
+	minAnsweringTargets = 3
+	recentAnswer        = 100 * time.Millisecond
 	// maxProbeBytes bounds the body of the answer to a probe. A probe fails if the body
 	// has this length or is longer.
 	maxProbeBytes = 4 << 10
@@ -168,7 +172,7 @@
 	if err != nil {
 		return nil, err
 	}
-	tracked := &trackedConn{Conn: conn}
+	tracked := &trackedConn{Conn: conn, address: address, openedAt: time.Now()}
 	tracked.onClose = func() { c.removeConn(tracked) }
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -195,13 +199,33 @@
 	return int(c.unconnected.Load())
 }
 
-// CloseIdleSince closes the idle connections whose last answer ended at the time since
-// or earlier. A device on the path may have lost the state of these connections, so that
-// requests on them would get no answer. The transport may still assign such a connection
+// CloseDoubtful closes idle connections after a request that was sent to an address at the
+// time since has got no answer in time. A device on the path may have lost the state of
+// connections, so that requests on them would get no answer either. The connections to that
+// address are closed whose last answer ended at the time since or earlier, and those to
+// other addresses too, unless enough other connections of that age have just carried
+// answers. The transport may still assign such a connection
 // to an attempt until it has noticed the close. None of the attempt's bytes are written
 // then, and it fails with the verdict NotRun.
-func (c *Client) CloseIdleSince(since time.Time) {
-	c.closeBlocked(func(conn *trackedConn) bool { return conn.blockIfIdleSince(since) })
+func (c *Client) CloseDoubtful(now, since time.Time, address string) {
+	pathWorks := c.pathWorks(now, since, address)
+	c.closeBlocked(func(conn *trackedConn) bool {
+		return (!pathWorks || conn.address == address) && conn.blockIfIdleSince(since)
+	})
+}
+
+// pathWorks reports whether enough connections to other addresses that are older than a late
+// request have carried answers so recently that they can't all have been lost since.
+func (c *Client) pathWorks(now, since time.Time, address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	answered := make(map[string]bool)
+	for conn := range c.conns {
+		if conn.address != address && conn.hasAnswered(since, now.Add(-recentAnswer)) {
+			answered[conn.address] = true
+		}
+	}
+	return len(answered) >= minAnsweringTargets
 }
 
 // CloseExpired closes the idle connections that the targets are about to close
--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -205,13 +205,13 @@
 	_ = answer.Body.Close()
 }
 
-// TestCloseIdleSinceKeepsConnectionsThatAnswered guards against closing working
+// TestCloseDoubtfulKeepsConnectionsThatAnswered guards against closing working
 // connections when a request on another one gets no answer. A connection works if an
 // answer arrived on it after that request was sent. Any other may be dead as well.
-func TestCloseIdleSinceKeepsConnectionsThatAnswered(t *testing.T) {
+func TestCloseDoubtfulKeepsConnectionsThatAnswered(t *testing.T) {
 	tests := []struct {
 		name string
-		// since is the time passed to CloseIdleSince, relative to the last answer.
+		// since is the time passed to CloseDoubtful, relative to the last answer.
 		since time.Duration
 		conns int64
 	}{
@@ -226,7 +226,7 @@
 			defer client.Close()
 			for range 2 {
 				post(t, client, s)
-				client.CloseIdleSince(time.Now().Add(tt.since))
+				client.CloseDoubtful(time.Now(), time.Now().Add(tt.since), s.listener.Addr().String())
 			}
 			is.Equal(s.conns.Load(), tt.conns)
 			is.Equal(s.runs.Load(), int64(2))
@@ -234,6 +234,55 @@
 	}
 }
 
+// connectionIdleTime is enough for net/http to notice that an answer is complete.
+const connectionIdleTime = 50 * time.Millisecond
+
+// TestCloseDoubtfulKeepsConnectionsToOthers guards against new connections to all targets each
+// time that one target is slow. Those to other targets stay if enough old connections have
+// just carried answers.
+func TestCloseDoubtfulKeepsConnectionsToOthers(t *testing.T) {
+	tests := []struct {
+		name string
+		// answering is the number of other targets that answer after the late request was
+		// sent, and ago how long before the check they did so.
+		answering int
+		ago       time.Duration
+		// conns is the number of connections to each of the others in the end, and late that
+		// to the target of the late request.
+		conns, late int64
+	}{
+		{name: "others answer", answering: 3, conns: 1, late: 2},
+		{name: "too few others answer", answering: 2, conns: 2, late: 2},
+		{name: "others answered long ago", answering: 3, ago: time.Second, conns: 2, late: 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			client := newClient()
+			defer client.Close()
+			late, idle := startScriptedServer(t, okReply), startScriptedServer(t, okReply)
+			servers := []*scriptedServer{late, idle}
+			for range tt.answering {
+				servers = append(servers, startScriptedServer(t, okReply))
+			}
+			for _, s := range servers {
+				post(t, client, s)
+			}
+			time.Sleep(connectionIdleTime)
+			since := time.Now()
+			for _, s := range servers[2:] {
+				post(t, client, s)
+			}
+			time.Sleep(connectionIdleTime)
+			client.CloseDoubtful(time.Now().Add(tt.ago), since, late.listener.Addr().String())
+			post(t, client, late)
+			post(t, client, idle)
+			is.Equal(late.conns.Load(), tt.late)
+			is.Equal(idle.conns.Load(), tt.conns)
+		})
+	}
+}
+
 // TestCloseExpiredObeysTheIdleTimeoutOfTheTarget guards against requests on a connection
 // that the target closes at the same moment, after the idle timeout that it stated.
 func TestCloseExpiredObeysTheIdleTimeoutOfTheTarget(t *testing.T) {
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -22,10 +22,16 @@
 type trackedConn struct {
 	net.Conn
 
+	// address is that of the target, and openedAt when the connection was established.
+	address  string
+	openedAt time.Time
+
 	mu      sync.Mutex
 	writes  uint64
 	blocked bool
 	onClose func()
+	// answeredAt is when the last answer on the connection was complete; zero before.
+	answeredAt time.Time
 	// idleSince is when the last answer on the connection was complete. It is zero
 	// while the connection is in use.
 	idleSince time.Time
@@ -46,6 +52,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idleSince = now
+	c.answeredAt = now
+}
+
+// hasAnswered reports whether the connection was opened before the first time and has
+// carried a complete answer after the second.
+func (c *trackedConn) hasAnswered(openedBefore, after time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.openedAt.Before(openedBefore) && c.answeredAt.After(after)
 }
 
 func (c *trackedConn) setTargetIdleTimeout(timeout time.Duration) {
