--- a/internal/beacon/message.go
+++ b/internal/beacon/message.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"gitlab.com/curranttiller/curranttiller/internal/peerpb"
+	"gitlab.com/curranttiller/curranttiller/pkg/facts"
 	"gitlab.com/curranttiller/curranttiller/pkg/limit"
 )
 
@@ -88,13 +89,9 @@
 
 // TopicExtent states how far the sender has read a topic.
 type TopicExtent struct {
+	facts.Extent
+
 	Topic string
-	// Era is that of the store to which Through belongs.
-	Era uint64
-	// Through is the offset after the last record that the sender has read.
-	Through uint64
-	// Age is the time since the store last confirmed that Through was the end of the topic.
-	Age time.Duration
 }
 
 // ServiceObservations holds the sender's observations of the targets of a service.
@@ -183,7 +180,9 @@
 func Encode(m *Message) ([]byte, error) {
 	wire := &peerpb.Beacon{Protocol: ProtocolVersion, Sender: m.Sender, Incarnation: m.Incarnation, Sequence: m.Sequence, Steered: m.Steered, WantsSights: m.WantsObservations}
 	for _, topic := range m.Topics {
-		wire.Topics = append(wire.Topics, &peerpb.TopicExtent{Topic: topic.Topic, Era: topic.Era, Through: topic.Through, AgeMillis: toMillis(topic.Age)})
+		wire.Topics = append(wire.Topics, &peerpb.TopicExtent{
+			Topic: topic.Topic, Era: topic.Era, Through: topic.Through, AgeMillis: toMillis(topic.Age), ReadBy: topic.Read.By, ReadNumber: topic.Read.Number,
+		})
 	}
 	for i := range m.Services {
 		wire.Services = append(wire.Services, encodeObservations(&m.Services[i]))
@@ -234,7 +233,9 @@
 	}
 	for _, topic := range wire.GetTopics() {
 		age := time.Duration(topic.GetAgeMillis()) * time.Millisecond
-		m.Topics = append(m.Topics, TopicExtent{Topic: topic.GetTopic(), Era: topic.GetEra(), Through: topic.GetThrough(), Age: age})
+		m.Topics = append(m.Topics, TopicExtent{Topic: topic.GetTopic(), Extent: facts.Extent{
+			Era: topic.GetEra(), Through: topic.GetThrough(), Age: age, Read: facts.Read{By: topic.GetReadBy(), Number: topic.GetReadNumber()},
+		}})
 	}
 	for _, service := range wire.GetServices() {
 		m.Services = append(m.Services, decodeObservations(service))
--- a/internal/beacon/message_test.go
+++ b/internal/beacon/message_test.go
@@ -8,12 +8,13 @@
 	"github.com/matryer/is"
 
 	"gitlab.com/curranttiller/curranttiller/internal/beacon"
+	"gitlab.com/curranttiller/curranttiller/pkg/facts"
 )
 
 func message() *beacon.Message {
 	return &beacon.Message{
 		Sender: "entry1", Incarnation: 7, Sequence: 3, Steered: []uint32{5, 9}, WantsObservations: true,
-		Topics:   []beacon.TopicExtent{{Topic: "targets", Through: 41, Age: 250 * time.Millisecond}},
+		Topics:   []beacon.TopicExtent{{Topic: "targets", Extent: facts.Extent{Era: 2, Through: 41, Age: 250 * time.Millisecond, Read: facts.Read{By: 9, Number: 5}}}},
 		Services: []beacon.ServiceObservations{{Service: "reservas", Targets: []beacon.TargetObservation{{ID: beacon.TargetID("t1"), InFlight: 2, Slowdown: 1.25, SlowdownAge: 30 * time.Millisecond, FailedShare: 0.5}}}},
 		Limits: []beacon.ServiceLimits{{Service: "reservas", Targets: []beacon.TargetLimit{
 			{ID: beacon.TargetID("t1"), PerSecond: 3.5, Age: 20 * time.Millisecond}, {ID: beacon.TargetID("t2"), Age: time.Second},
--- a/internal/entry/beacons.go
+++ b/internal/entry/beacons.go
@@ -206,7 +206,7 @@
 	var extents []beacon.TopicExtent
 	for _, f := range []*followedTopic{d.configuration, d.targets} {
 		if f.topic.IsLoaded() {
-			extents = append(extents, beacon.TopicExtent{Topic: f.name, Era: f.topic.Era(), Through: f.topic.Through(), Age: f.topic.Age(now)})
+			extents = append(extents, beacon.TopicExtent{Topic: f.name, Extent: f.topic.Extent(now)})
 		}
 	}
 	return extents
@@ -288,7 +288,7 @@
 	if extent.Through == f.topic.Through() {
 		// Confirm lowers the age by which Observe recognises an outage.
 		f.outageRetention.Observe(now, f.topic)
-		f.topic.Confirm(now, extent.Era, extent.Through, extent.Age)
+		f.topic.Confirm(now, extent.Extent)
 	}
 }
 
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -6,6 +6,7 @@
 	"math"
 	"time"
 
+	"gitlab.com/curranttiller/curranttiller/internal/beacon"
 	"gitlab.com/curranttiller/curranttiller/pkg/facts"
 	"gitlab.com/curranttiller/curranttiller/pkg/steer"
 )
@@ -69,6 +70,8 @@
 	// behindSince is when another host first reported a higher offset than this
 	// host's; zero if this host is up to date.
 	behindSince time.Time
+	// reads counts the reads of the store by this host.
+	reads uint64
 	// isStoreLost says that the last call to the store for this topic failed.
 	isStoreLost bool
 }
@@ -224,10 +227,19 @@
 	}
 	d.lastPlatformRead.Store(time.Now().UnixNano())
 	delta.Age = replyAge(time.Since(started), wait, len(delta.Facts))
+	delta.Read = d.nextRead(f)
 	d.applyDelta(f, &delta, sourceStore)
 	return nil
 }
 
+// nextRead returns the identity of a read of the store that this host has just done.
+func (d *Daemon) nextRead(f *followedTopic) facts.Read {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f.reads++
+	return facts.Read{By: beacon.TargetID(fmt.Sprint(d.settings.Name, " ", d.incarnation)), Number: f.reads}
+}
+
 // replyAge is how old a reply of the store may be when it has been read, for a call
 // that took a given time and let the store wait for records. A reply without records
 // left the store when the wait was over. A host that is slow to read it must not
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -173,7 +173,7 @@
 
 func factsToWire(a *FactsReply) *peerpb.FactsReply {
 	d := &a.Delta
-	reply := &peerpb.FactsReply{Elsewhere: a.RedirectTo, Era: d.Era, Through: d.Through, Whole: d.IsSnapshot, AgeMillis: uint32(min(max(d.Age.Milliseconds(), 0), math.MaxUint32))}
+	reply := &peerpb.FactsReply{Elsewhere: a.RedirectTo, Era: d.Era, ReadBy: d.Read.By, ReadNumber: d.Read.Number, Through: d.Through, Whole: d.IsSnapshot, AgeMillis: uint32(min(max(d.Age.Milliseconds(), 0), math.MaxUint32))}
 	for i := range d.Facts {
 		f := &d.Facts[i]
 		reply.Facts = append(reply.Facts, &peerpb.Fact{Key: f.Key, Offset: f.Offset, Value: f.Value, Removed: f.Removed})
@@ -182,7 +182,7 @@
 }
 
 func factsFromWire(reply *peerpb.FactsReply) FactsReply {
-	d := facts.Delta{Era: reply.GetEra(), Through: reply.GetThrough(), IsSnapshot: reply.GetWhole(), Age: time.Duration(reply.GetAgeMillis()) * time.Millisecond}
+	d := facts.Delta{Era: reply.GetEra(), Read: facts.Read{By: reply.GetReadBy(), Number: reply.GetReadNumber()}, Through: reply.GetThrough(), IsSnapshot: reply.GetWhole(), Age: time.Duration(reply.GetAgeMillis()) * time.Millisecond}
 	for _, f := range reply.GetFacts() {
 		d.Facts = append(d.Facts, facts.Fact{Key: f.GetKey(), Offset: f.GetOffset(), Value: f.GetValue(), Removed: f.GetRemoved()})
 	}
--- a/pkg/facts/topic.go
+++ b/pkg/facts/topic.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -10,6 +11,13 @@
 // other hosts. A host that requests changes from before a dropped removal gets a snapshot.
 const removalRetention = time.Minute
 
+const (
+	// maxKnownReaders is the number of hosts from which those are forgotten whose last read
+	// became known more than readerRetention ago. No message is on its way for so long.
+	maxKnownReaders = 64
+	readerRetention = 30 * time.Second
+)
+
 // Fact is a record of one key. In a Topic it is the newest one of the key.
 type Fact struct {
 	Key string
@@ -32,6 +40,44 @@
 	Facts      []Fact
 	// Age is the time since the store was last known to have no records at Through or later.
 	Age time.Duration
+	// Read is the read of the store that Age counts from.
+	Read Read
+}
+
+// Read identifies a read of the store. Hosts pass on what it showed, with its age. The zero
+// value is unknown, as from hosts that don't state it.
+type Read struct {
+	// By identifies the host that read the store, and the run of its process.
+	By uint32
+	// Number increases with each read of the topic by this host.
+	Number uint64
+}
+
+// knownReads holds the last read of each host that this host knows, so that each read confirms
+// a topic only once. The time that a message waits at a slow host is not part of the age that it
+// states. If hosts confirmed each other with the same read again and again, its age would
+// shrink by that time in each round.
+type knownReads map[uint32]knownRead
+
+type knownRead struct {
+	number  uint64
+	addedAt time.Time
+}
+
+// add reports whether a read is later than those known of its host, and adds it.
+func (k knownReads) add(now time.Time, read Read) bool {
+	if read == (Read{}) {
+		return true
+	}
+	known, found := k[read.By]
+	if found && read.Number <= known.number {
+		return false
+	}
+	if !found && len(k) >= maxKnownReaders {
+		maps.DeleteFunc(k, func(_ uint32, r knownRead) bool { return now.Sub(r.addedAt) > readerRetention })
+	}
+	k[read.By] = knownRead{number: read.Number, addedAt: now}
+	return true
 }
 
 // storedFact is a fact and, if it is a removal, the time at which it was applied.
@@ -54,6 +100,9 @@
 	// confirmedAt is the last time at which the store is known to have had no records
 	// at through or later; zero before the first delta or confirmation.
 	confirmedAt time.Time
+	// read is the read of the store that confirmedAt follows from.
+	read  Read
+	reads knownReads
 	// sortedKeys are the keys that are not removed; nil if Facts has to list them anew.
 	sortedKeys []string
 	// removalsPrunedBelow is the offset below which some removals may no longer be stored.
@@ -62,7 +111,7 @@
 
 // NewTopic returns an empty topic that is not loaded.
 func NewTopic() *Topic {
-	return &Topic{byKey: make(map[string]storedFact)}
+	return &Topic{byKey: make(map[string]storedFact), reads: make(knownReads)}
 }
 
 // Through returns the offset below which all records have been applied.
@@ -127,7 +176,7 @@
 		// A snapshot does not contain the keys that were removed before it.
 		t.removalsPrunedBelow = max(t.removalsPrunedBelow, delta.Through)
 	}
-	t.Confirm(now, delta.Era, delta.Through, delta.Age)
+	t.Confirm(now, delta.Extent())
 	t.through = max(t.through, delta.Through)
 	t.pruneRemovals(now)
 	return changed
@@ -136,22 +185,47 @@
 // replace puts a snapshot of a later era in the place of all facts. It reports a change in
 // any case.
 func (t *Topic) replace(now time.Time, delta *Delta) bool {
-	*t = Topic{byKey: make(map[string]storedFact, len(delta.Facts)), era: delta.Era, through: delta.Through, removalsPrunedBelow: delta.Through}
+	*t = Topic{byKey: make(map[string]storedFact, len(delta.Facts)), reads: make(knownReads), era: delta.Era, through: delta.Through, removalsPrunedBelow: delta.Through}
 	for i := range delta.Facts {
 		t.byKey[delta.Facts[i].Key] = storedFact{Fact: delta.Facts[i]}
 	}
-	t.Confirm(now, delta.Era, delta.Through, delta.Age)
+	t.Confirm(now, delta.Extent())
 	return true
 }
 
-// Confirm records that at the given age before now the store had no records at the
-// offset through or later of an era. The caller must have applied all records below that offset.
-// A report with an offset below the topic's own is ignored, since it is older than the topic,
-// and so is one of another era.
-func (t *Topic) Confirm(now time.Time, era, through uint64, age time.Duration) {
-	at := now.Add(-age)
-	if era == t.era && through >= t.through && at.After(t.confirmedAt) {
+// Extent says how far a topic was read, and how long ago that was confirmed.
+type Extent struct {
+	// Era is that of the store to which Through belongs.
+	Era uint64
+	// Through is the offset after the last record that was read.
+	Through uint64
+	// Age is the time since the store was last known to have no records at Through or later.
+	Age time.Duration
+	// Read is the read of the store that Age counts from.
+	Read Read
+}
+
+// Extent returns the extent of the topic that the delta covers.
+func (d *Delta) Extent() Extent {
+	return Extent{Era: d.Era, Through: d.Through, Age: d.Age, Read: d.Read}
+}
+
+// Extent returns how far the topic has been read.
+func (t *Topic) Extent(now time.Time) Extent {
+	return Extent{Era: t.era, Through: t.through, Age: t.Age(now), Read: t.read}
+}
+
+// Confirm records that at the age of the extent before now the store had no records at its
+// offset or later. The caller must have applied all records below that offset. An extent with
+// an offset below the topic's own is ignored, since it is older than the topic, and so is one
+// of another era, or one from a read that has confirmed the topic before.
+func (t *Topic) Confirm(now time.Time, extent Extent) {
+	if extent.Era != t.era || extent.Through < t.through || !t.reads.add(now, extent.Read) {
+		return
+	}
+	if at := now.Add(-extent.Age); at.After(t.confirmedAt) {
 		t.confirmedAt = at
+		t.read = extent.Read
 	}
 }
 
@@ -227,7 +301,7 @@
 // Since returns the changes from an offset on, to be sent to another host. It is a
 // snapshot if the offset is zero or if removals at it or later may have been dropped.
 func (t *Topic) Since(now time.Time, from uint64) Delta {
-	delta := Delta{Era: t.era, Through: t.through, IsSnapshot: from < t.removalsPrunedBelow || from == 0, Age: t.Age(now)}
+	delta := Delta{Era: t.era, Through: t.through, IsSnapshot: from < t.removalsPrunedBelow || from == 0, Age: t.Age(now), Read: t.read}
 	for _, stored := range t.byKey {
 		if delta.IsSnapshot && stored.Removed {
 			continue
--- a/pkg/facts/topic_test.go
+++ b/pkg/facts/topic_test.go
@@ -132,16 +132,61 @@
 	topic := facts.NewTopic()
 	is.True(!topic.IsLoaded())
 	topic.Apply(start, &facts.Delta{Through: 4})
-	topic.Confirm(start.Add(time.Second), 0, 4, 200*time.Millisecond)
+	topic.Confirm(start.Add(time.Second), facts.Extent{Through: 4, Age: 200 * time.Millisecond})
 	is.Equal(topic.Age(start.Add(time.Second)), 200*time.Millisecond)
-	topic.Confirm(start.Add(2*time.Second), 0, 3, 0) // an offset below that of the topic confirms nothing
+	topic.Confirm(start.Add(2*time.Second), facts.Extent{Through: 3}) // an offset below that of the topic confirms nothing
 	is.Equal(topic.Age(start.Add(2*time.Second)), 1200*time.Millisecond)
-	topic.Confirm(start.Add(2*time.Second), 1, 4, 0) // another era confirms nothing
+	topic.Confirm(start.Add(2*time.Second), facts.Extent{Era: 1, Through: 4}) // another era confirms nothing
 	is.Equal(topic.Age(start.Add(2*time.Second)), 1200*time.Millisecond)
 	topic.MarkStale(start.Add(2*time.Second), time.Minute)
 	is.Equal(topic.Age(start.Add(2*time.Second)), time.Minute)
 }
 
+// TestAgeNeverShrinksInCircle guards against hosts that confirm each other's copies while none
+// reads the store. Messages wait at slow hosts, which the age that they state leaves out.
+func TestAgeNeverShrinksInCircle(t *testing.T) {
+	const (
+		step    = 10 * time.Millisecond
+		maxWait = 300 * time.Millisecond
+		hosts   = 5
+	)
+	type message struct {
+		to     int
+		at     time.Time
+		extent facts.Extent
+	}
+	for seed := range uint64(20) {
+		is := is.New(t)
+		rng := rand.New(rand.NewPCG(seed, 1))
+		topics := make([]*facts.Topic, hosts)
+		for i := range topics {
+			// Each host has read the store once, the last one at start.
+			topics[i] = facts.NewTopic()
+			topics[i].Apply(start.Add(time.Duration(i-hosts+1)*step), &facts.Delta{Through: 4, IsSnapshot: true, Read: facts.Read{By: uint32(i + 1), Number: 7}})
+		}
+		var sent []message
+		for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(step) {
+			for i, topic := range topics {
+				wait := time.Duration(rng.Float64() * float64(maxWait))
+				sent = append(sent, message{to: (i + 1 + rng.IntN(hosts-1)) % hosts, at: now.Add(wait), extent: topic.Extent(now)})
+			}
+			waiting := sent[:0]
+			for _, m := range sent {
+				if m.at.After(now) {
+					waiting = append(waiting, m)
+					continue
+				}
+				topics[m.to].Confirm(now, m.extent)
+			}
+			sent = waiting
+			for _, topic := range topics {
+				// A read reaches each host over at most all others.
+				is.True(topic.Age(now) >= now.Sub(start)-(hosts-1)*maxWait)
+			}
+		}
+	}
+}
+
 func TestReadScheduleGrowsWithRank(t *testing.T) {
 	is := is.New(t)
 	schedule := facts.ReadSchedule{Period: 400 * time.Millisecond, Grace: 400 * time.Millisecond, Step: 100 * time.Millisecond, Max: time.Second}
