choose, entry, platform: targets that hold off a host, and targets that are not warm

Change: a host sends a target that holds it off nothing until the time is over and returns at a random time with one request at a time; requests that no target can take in time are refused at once with the time. Cold targets get no more than the configured rate from all hosts together, by the limiter of pkg/limit; probes and beacons tell which are cold. Off without a rate in the configuration. The two share the places in the choice where limits are asked, so they come in one commit. client.Probe and Request have a callback, because an answer that can't be used may still hold the host off.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -199,7 +199,7 @@
 		cancel: cancel,
 	}
 	d.counters = newCounters(d.metrics)
-	d.sharing.sharers = []sharer{&sharedLimits{}, sharedDepartures{}}
+	d.sharing.sharers = []sharer{&sharedLimits{}, sharedDepartures{}, sharedHoldOffs{}, sharedCold{}}
 	d.metrics.NewGauge("curranttiller_control_bytes", func() float64 { return float64(control.Load()) })
 	d.members = member.New(d.selfInfo(), d.timing(), incarnation)
 	// Without a store or without seeds, the membership table counts as settled from the start.
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -282,6 +282,9 @@
 func (s *service) sendAttempt(ctx context.Context, client *target.Client, grant choose.Grant, outgoing *target.Request) *attemptResult {
 	sentAt := time.Now()
 	result := &attemptResult{attempt: grant.Attempt, target: grant.Target}
+	outgoing.OnStated = func(info target.ResponseInfo) {
+		s.recordHoldOff(grant.Target, grant.TargetStartedAt, info.HoldOff, statedInAnswer)
+	}
 	answer, err := client.Do(ctx, outgoing)
 	if err != nil {
 		result.err = route.AsFault(err)
@@ -382,7 +385,8 @@
 	}
 	if r.request.Terms != nil && result.answer.Verdict == fault.NotRun {
 		// The target declined this attempt. The caller may retry at once, since another target may accept the request.
-		return r.withEarlierAttempts(fault.New(fault.NotRun, http.StatusServiceUnavailable, "TargetDeclined"))
+		// Only if all targets hold off this host, a time is known.
+		return r.withEarlierAttempts(fault.New(fault.NotRun, http.StatusServiceUnavailable, "TargetDeclined")).WithRetryAfter(r.service.holdOffWait())
 	}
 	return nil
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -70,9 +70,15 @@
 	limitWarnedAt map[string]time.Time
 	// departureWarnedAt is the same for an unusual statement that it leaves.
 	departureWarnedAt map[string]time.Time
+	// holdOffWarnedAt is the same for an unusual time for which it wants no requests.
+	holdOffWarnedAt map[string]time.Time
 
 	// limitsInForce is the number of targets that name a limit.
 	limitsInForce atomic.Int64
+	// heldOffTargets is the number of targets that hold off this host.
+	heldOffTargets atomic.Int64
+	// coldTargets is the number of targets that are not known to be warm.
+	coldTargets atomic.Int64
 	// attemptsRunning is the number of attempts that have not ended.
 	attemptsRunning atomic.Int64
 }
@@ -91,6 +97,9 @@
 	// leavingAnswers counts the answers in which a target said that it leaves, and
 	// unusualDepartures those that said so in an unusual way, which has no effect.
 	leavingAnswers, unusualDepartures *metrics.Counter
+	// holdOffs counts the answers in which a target named a time for which it wants no
+	// requests, and unusualHoldOffs those whose time was unusable or replaced by a bound.
+	holdOffs, unusualHoldOffs *metrics.Counter
 	// waited is the time from the arrival of a request to the grant of the attempt that
 	// won, target the latency of that attempt, and total the time from the arrival to
 	// the end of the answer, all in seconds.
@@ -110,6 +119,7 @@
 		refusals: counter("refusals"), probes: counter("probes"),
 		limitedAnswers: counter("limited_answers"), limitedProbes: counter("limited_probes"), unusualLimits: counter("unusual_limits"),
 		leavingAnswers: counter("leaving_answers"), unusualDepartures: counter("unusual_departures"),
+		holdOffs: counter("hold_offs"), unusualHoldOffs: counter("unusual_hold_offs"),
 	}
 }
 
@@ -130,12 +140,15 @@
 
 		limitWarnedAt:     make(map[string]time.Time),
 		departureWarnedAt: make(map[string]time.Time),
+		holdOffWarnedAt:   make(map[string]time.Time),
 	}
 	s.client = target.NewClient(s.limits, d.adapter.TargetProtocol)
 	if plan := d.stopPlan.Load(); plan != nil {
 		s.pool.StopAt(now, plan.endsAt)
 	}
 	d.metrics.GetOrCreateGauge(fmt.Sprintf("curranttiller_service_limits_in_force{service=%q}", name), func() float64 { return float64(s.limitsInForce.Load()) })
+	d.metrics.GetOrCreateGauge(fmt.Sprintf("curranttiller_service_held_off_targets{service=%q}", name), func() float64 { return float64(s.heldOffTargets.Load()) })
+	d.metrics.GetOrCreateGauge(fmt.Sprintf("curranttiller_service_cold_targets{service=%q}", name), func() float64 { return float64(s.coldTargets.Load()) })
 	return s
 }
 
@@ -158,6 +171,8 @@
 		ExtraBurst:        document.ExtraBurst,
 		BurstHosts:        burstHosts(document),
 		ChargeRescues:     document.Policy == spec.PolicySpeed,
+		ColdPerSecond:     document.ColdPerSecond,
+		ColdTime:          document.ColdTime,
 	}
 }
 
@@ -226,6 +241,7 @@
 	s.pool.SetFleetSize(s.daemon.knownHosts, s.daemon.reachedHosts)
 	s.pool.SetSharingHosts(steer.SharingHostCount(holders, s.daemon.settings.FailureDomain))
 	s.deliverActions(s.pool.SetTargets(now, targets))
+	s.announceColdChanges(now, statedInList)
 }
 
 // heldTargets lists the targets that this host holds, which are those that it probes if
@@ -341,6 +357,8 @@
 		s.client.CloseExpired(now)
 		s.recordEjections(now)
 		s.updateLimitGauge(now)
+		s.coldTargets.Store(int64(s.pool.ColdTargets(now)))
+		s.heldOffTargets.Store(int64(len(s.pool.HeldOff(now))))
 	}
 	var due []string
 	for _, name := range s.pool.Probes(now) {
--- a/internal/entry/timers.go
+++ b/internal/entry/timers.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"gitlab.com/curranttiller/curranttiller/internal/target"
 	"gitlab.com/curranttiller/curranttiller/pkg/event"
 	"gitlab.com/curranttiller/curranttiller/pkg/spec"
 )
@@ -96,7 +97,10 @@
 	d.counters.probes.Inc()
 	s.metrics.probes.Inc()
 	sent := time.Now()
-	result := client.Probe(d.ctx, s.name, address, name, probeTimeout)
+	result := client.Probe(d.ctx, s.name, address, name, probeTimeout, func(info target.ResponseInfo) {
+		s.recordHoldOff(name, startedAt, info.HoldOff, statedInProbe)
+		s.recordCold(name, sent, info.Cold)
+	})
 	s.recordDeparture(name, startedAt, sent, result.Departure, statedInProbe)
 	if result.Limit != nil {
 		s.recordStatement(name, *result.Limit, statedInProbe)
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -62,6 +62,9 @@
 	// Instance identifies the process of the target that the attempt is for. It is
 	// empty if targets are identified by address only.
 	Instance string
+	// OnStated is called with what the header of the response states, before Do returns and
+	// also if the response can't be used as an answer. It may be nil.
+	OnStated func(ResponseInfo)
 }
 
 // Answer is a target's answer with its body still unread.
@@ -89,7 +92,8 @@
 	SetHeaders(headers http.Header, request *Request)
 	// ParseResponse reads the load and the verdict from the header of a response. An
 	// error means that the response can't be used, for example because it is not the
-	// target's answer to this attempt. The connection is then closed.
+	// target's answer to this attempt. The connection is then closed. The information may
+	// still have a HoldOff.
 	ParseResponse(response *http.Response, request *Request) (ResponseInfo, *fault.Error)
 	// ProbeRequest returns the request that asks a target for its load.
 	ProbeRequest(service, address, instance string) *Request
@@ -103,10 +107,20 @@
 	Limit limit.Named
 	// Departure is what the response states about the target's leaving.
 	Departure Departure
+	// HoldOff is the time for which the target wants nothing more from this host.
+	HoldOff choose.HoldOff
+	// Cold is what the answer to a probe states about the time until the target is warm.
+	Cold Cold
 	// Verdict says whether the target ran the work.
 	Verdict fault.Verdict
 }
 
+// Cold is what the answer to a probe states about the time until the target is warm.
+type Cold struct {
+	IsStated bool
+	Left     time.Duration
+}
+
 // Departure is what one answer of a target states about its leaving.
 type Departure struct {
 	// IsLeaving says that the instance that answered will end and wants no new requests.
@@ -254,6 +268,9 @@
 	}
 	track.setTargetIdleTimeout(response.Header.Get("Keep-Alive"))
 	info, failed := c.protocol.ParseResponse(response, request)
+	if request.OnStated != nil {
+		request.OnStated(info)
+	}
 	if failed != nil {
 		_ = response.Body.Close()
 		track.closeConn()
@@ -406,11 +423,12 @@
 // Probe asks a target for its load. A report with status 503 is returned and marked as
 // unhealthy, because the target did answer. The results of requests decide whether it is
 // usable.
-func (c *Client) Probe(ctx context.Context, service, address, instance string, timeout time.Duration) ProbeResult {
+func (c *Client) Probe(ctx context.Context, service, address, instance string, timeout time.Duration, onStated func(ResponseInfo)) ProbeResult {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request := c.protocol.ProbeRequest(service, address, instance)
 	request.Deadline = time.Now().Add(timeout)
+	request.OnStated = onStated
 	answer, err := c.Do(ctx, request)
 	if err != nil {
 		return ProbeResult{}
--- a/pkg/choose/attempt.go
+++ b/pkg/choose/attempt.go
@@ -182,6 +182,8 @@
 	}
 	if remaining >= 1 && remaining*usableTargetsDivisor >= len(p.targets) {
 		s.eject(now, cause)
+		// It may be down, and start again.
+		p.assumeCold(now, s.ejectedUntil, s)
 		p.ejected = append(slices.DeleteFunc(p.ejected, func(o *targetState) bool { return o == s }), s)
 	}
 }
--- a/pkg/choose/doc.go
+++ b/pkg/choose/doc.go
@@ -75,6 +75,10 @@
 // Targets that it doesn't allow are left out of the choice. If all usable targets name
 // limits, requests that would be late by the time they are allowed are refused.
 //
+// A target may hold off one host, which then sends it nothing for the time that the target
+// has named, and returns gently. Until a target is known to be warm, all hosts together send
+// it no more than [Settings].ColdPerSecond, again by package limit.
+//
 // # Policies
 //
 // The policy of the service determines which target a request is sent to:
--- a/pkg/choose/forecast.go
+++ b/pkg/choose/forecast.go
@@ -69,7 +69,7 @@
 // occupancy.
 func (p *Pool) forecast(now time.Time, s *targetState, occupancy int) forecast {
 	f := forecast{slowdown: s.estimate.expectedSlowdown(now, p.meanSlowdown), penalty: 1}
-	if now.Before(s.ColdUntil) {
+	if now.Before(s.ColdUntil) || s.isCold(now) {
 		f.slowdown *= coldSlowdown
 	}
 	if unreported := s.estimate.unreportedSlowdown(now); unreported > minUnreportedSlowdown {
@@ -84,6 +84,9 @@
 	if p.isReportStale(now, s) {
 		f.penalty *= staleReportPenalty
 	}
+	if now.Before(s.holdOff.advisedUntil) {
+		f.penalty *= adviceFactor
+	}
 	if s.FailureDomain != p.settings.FailureDomain {
 		f.penalty *= 1 + otherDomainPenalty
 	}
@@ -96,7 +99,7 @@
 // isReportStale reports whether the slowdown of a target should be known but is not. A
 // target that names a limit gets too few probes to report it often.
 func (p *Pool) isReportStale(now time.Time, s *targetState) bool {
-	return !s.hasLimit() && (s.estimate.slowdownAge(now) > staleReportAge || p.lacksReport(s))
+	return !s.hasLimit() && !s.isCold(now) && (s.estimate.slowdownAge(now) > staleReportAge || p.lacksReport(s))
 }
 
 // lacksReport reports whether the slowdown of a target in another failure domain is
--- a/pkg/choose/limits.go
+++ b/pkg/choose/limits.go
@@ -31,16 +31,26 @@
 	return s.limiter != nil && s.limiter.State().IsInForce()
 }
 
+// limitAllows reports whether a target may get a request of this host now.
 func (p *Pool) limitAllows(now time.Time, s *targetState) bool {
+	if s.isHeldOff(now) || (s.isCold(now) && !s.warmUp.limiter.Allows(now, p.limitRole(s))) {
+		return false
+	}
 	return s.limiter == nil || s.limiter.Allows(now, p.limitRole(s))
 }
 
 // limitAllowsProbe reports whether the limit of a target allows a probe. An ejected target
 // gets no requests, so its probes need not leave anything to these.
 func (p *Pool) limitAllowsProbe(now time.Time, s *targetState) bool {
+	if s.isHeldOff(now) {
+		return false
+	}
 	if s.isEjected(now) && s.OwnsLimit {
 		return p.limitAllows(now, s)
 	}
+	if s.isCold(now) && !s.warmUp.limiter.AllowsProbe(now, p.limitRole(s)) {
+		return false
+	}
 	return s.limiter == nil || s.limiter.AllowsProbe(now, p.limitRole(s))
 }
 
@@ -49,6 +59,9 @@
 	if s.limiter != nil {
 		s.limiter.Spend(now, p.limitRole(s))
 	}
+	if s.isCold(now) {
+		s.warmUp.limiter.Spend(now, p.limitRole(s))
+	}
 }
 
 // maySend reports whether a target accepts work and its limit allows a request now.
@@ -142,33 +155,34 @@
 	ready, perSecond, fraction float64
 	// fleetPerSecond is the number of requests a second that all hosts may send.
 	fleetPerSecond float64
-	// unlimitedIn is the time until the ejection of a target without a limit ends; negative
-	// if there is no such target.
+	// unlimitedIn is the time until the ejection, the hold-off or the warm-up of a target
+	// without a limit ends; negative if there is no such target.
 	unlimitedIn time.Duration
 }
 
 // limitSupply returns what the limits allow, and whether every usable target names one.
 func (p *Pool) limitSupply(now time.Time) (limitSupply, bool) {
 	supply := limitSupply{unlimitedIn: -1}
-	if len(p.limited) == 0 {
+	if len(p.limited)+len(p.cold) == 0 {
 		return supply, false
 	}
 	count := 0
 	for _, s := range p.targets {
 		switch {
 		case s.isLeaving():
-		case s.hasLimit():
-			ready, perSecond := s.limiter.Supply(now, p.limitRole(s))
+		case (s.hasLimit() || s.isCold(now)) && !s.isHeldOff(now):
+			ready, perSecond, fleetPerSecond := p.supplyOf(now, s)
 			whole, fraction := math.Modf(max(ready, 0))
 			count++
 			supply.ready += whole
 			supply.perSecond += perSecond
 			supply.fraction += (fraction - supply.fraction) / float64(count)
-			supply.fleetPerSecond += s.limiter.State().PerSecond
-		case s.isEjected(now):
-			if in := s.ejectedUntil.Sub(now); supply.unlimitedIn < 0 || in < supply.unlimitedIn {
-				supply.unlimitedIn = in
+			supply.fleetPerSecond += fleetPerSecond
+			if !s.hasLimit() {
+				supply.expectUnlimited(s.warmUp.until.Sub(now))
 			}
+		case s.isEjected(now) || s.isHeldOff(now):
+			supply.expectUnlimited(s.usableIn(now))
 		default:
 			return supply, false
 		}
@@ -176,6 +190,40 @@
 	return supply, supply.fleetPerSecond > 0
 }
 
+// supplyOf returns what the limit of a target or its rate while cold allows, whichever is
+// less.
+func (p *Pool) supplyOf(now time.Time, s *targetState) (ready, perSecond, fleetPerSecond float64) {
+	ready, perSecond, fleetPerSecond = math.Inf(1), math.Inf(1), math.Inf(1)
+	include := func(l *limit.Limiter) {
+		limitReady, limitPerSecond := l.Supply(now, p.limitRole(s))
+		ready, perSecond = min(ready, limitReady), min(perSecond, limitPerSecond)
+		fleetPerSecond = min(fleetPerSecond, l.State().PerSecond)
+	}
+	if s.hasLimit() {
+		include(s.limiter)
+	}
+	if s.isCold(now) {
+		include(s.warmUp.limiter)
+	}
+	return ready, perSecond, fleetPerSecond
+}
+
+// expectUnlimited records that a target is usable without a limit after a time.
+func (s *limitSupply) expectUnlimited(in time.Duration) {
+	if s.unlimitedIn < 0 || in < s.unlimitedIn {
+		s.unlimitedIn = in
+	}
+}
+
+// usableIn returns the time until the ejection and the hold-off of a target are over.
+func (s *targetState) usableIn(now time.Time) time.Duration {
+	in := s.ejectedUntil.Sub(now)
+	if s.isHeldOff(now) {
+		in = max(in, s.holdOff.until.Sub(now))
+	}
+	return in
+}
+
 // wait returns the time until the limits allow a request at this host behind others.
 func (s *limitSupply) wait(ahead int) time.Duration {
 	missing := float64(ahead+1) - s.ready
--- a/pkg/choose/pool.go
+++ b/pkg/choose/pool.go
@@ -142,6 +142,10 @@
 	usedByHost map[string][]*targetState
 	// limited are the targets that name a limit or have named one recently.
 	limited []*targetState
+	// cold are the targets that aren't known to be warm or have become so recently, and
+	// coldChanges the changes since the last call of TakeColdChanges.
+	cold        []*targetState
+	coldChanges []ColdState
 	// departures are the targets that have said that they leave, by name, and
 	// departureChanges those since the last call of TakeDepartureChanges.
 	departures       map[string]departure
@@ -213,10 +217,13 @@
 	p.held = p.held[:0]
 	for _, t := range targets {
 		s := p.find(t.Name)
-		if s == nil {
+		isNew := s == nil
+		if isNew {
 			s = newTargetState(t, p.initialLimit(t), now)
 		}
+		before := s.Target
 		s.Target = t
+		p.learnListedCold(now, s, before, isNew)
 		next = append(next, s)
 		byName[t.Name] = s
 		if !t.Spare {
@@ -299,6 +306,9 @@
 	if refusal, isRefused := p.refuseByLimit(now, r, p.waiting.len()); isRefused {
 		return Actions{Refusals: []Refusal{refusal}}
 	}
+	if refusal, isRefused := p.refuseByHoldOff(now, r); isRefused {
+		return Actions{Refusals: []Refusal{refusal}}
+	}
 	if maxWait := p.maxWait(now, r); p.waiting.len() > 0 && p.expectedWait() > maxWait {
 		return refuse(request.ID, ReasonQueueFull)
 	}
@@ -363,6 +373,7 @@
 		return p.dispatchBySpeed(now)
 	}
 	actions := p.expireByLimit(now)
+	actions.Refusals = append(actions.Refusals, p.expireByHoldOff(now).Refusals...)
 	for r := p.waiting.first(); r != nil; r = p.waiting.first() {
 		if !now.Add(p.latencies.median / 2).Before(r.Deadline) {
 			p.waiting.remove(r.ID)
--- a/pkg/choose/speed.go
+++ b/pkg/choose/speed.go
@@ -99,7 +99,7 @@
 func (p *Pool) addCandidates(now time.Time, c *comparison, accepts func(s *targetState) bool) {
 	for _, s := range p.targets {
 		switch {
-		case !accepts(s):
+		case !accepts(s) || s.isHeldOff(now):
 		case p.limitAllows(now, s):
 			c.candidates = append(c.candidates, p.candidate(now, s))
 		default:
@@ -208,6 +208,9 @@
 	if refusal, isRefused := p.refuseByLimit(now, r, p.waitingBefore(r)); isRefused {
 		return Actions{Refusals: []Refusal{refusal}}
 	}
+	if refusal, isRefused := p.refuseByHoldOff(now, r); isRefused {
+		return Actions{Refusals: []Refusal{refusal}}
+	}
 	if wait := p.queueingDelay(now, r); wait > 0 && p.becomesLate(now, wait, r) {
 		if p.canMeetObjective(now, r) {
 			p.contendedAt = now
@@ -239,9 +242,9 @@
 	slots, limitedSlots := 0, 0.0
 	for _, s := range p.targets {
 		switch {
-		case s.isLeaving() || s.estimate.expectedSlowdown(now, p.meanSlowdown) > fastSlowdown:
-		case s.hasLimit():
-			_, perSecond := s.limiter.Supply(now, p.limitRole(s))
+		case s.isLeaving() || s.isHeldOff(now) || s.estimate.expectedSlowdown(now, p.meanSlowdown) > fastSlowdown:
+		case s.hasLimit() || s.isCold(now):
+			_, perSecond, _ := p.supplyOf(now, s)
 			limitedSlots += min(perSecond*p.work(r).Seconds(), float64(p.usefulSlots(s)))
 		default:
 			slots += p.usefulSlots(s)
@@ -404,6 +407,7 @@
 // still meet their objective, it refuses late ones too.
 func (p *Pool) expireBySpeed(now time.Time) Actions {
 	actions := p.expireByLimit(now)
+	actions.Refusals = append(actions.Refusals, p.expireByHoldOff(now).Refusals...)
 	timely := 0
 	for r := range p.waiting.all {
 		if p.canMeetObjective(now, r) {
--- a/pkg/choose/target.go
+++ b/pkg/choose/target.go
@@ -82,6 +82,8 @@
 	removed, observed bool
 
 	estimate targetEstimate
+	holdOff  holdOff
+	warmUp   warmUp
 	// limiter is nil until the target names a limit.
 	limiter *limit.Limiter
 }
@@ -186,7 +188,9 @@
 	s.lastLatencyAt = now
 	s.lastContact = now
 	s.errorsInRow = 0
-	s.limit = min(s.limit+1, slots)
+	if !s.isHeldOff(now) {
+		s.limit = min(s.limit+1, slots)
+	}
 	if slowThreshold > 0 && latency > slowThreshold {
 		s.slowInRow++
 		return
@@ -215,7 +219,7 @@
 }
 
 func (s *targetState) acceptsWork(now time.Time) bool {
-	return !s.isLeaving() && !s.isEjected(now)
+	return !s.isLeaving() && !s.isEjected(now) && !s.isHeldOff(now)
 }
 
 // isLeaving reports whether the target is to get no new requests because it will end.
--- a/pkg/choose/types.go
+++ b/pkg/choose/types.go
@@ -40,6 +40,11 @@
 	BurstHosts int
 	// ChargeRescues makes rescues spend from the budget of extra attempts.
 	ChargeRescues bool
+	// ColdPerSecond is the number of requests a second that a cold target takes from all entry
+	// hosts together; zero means that cold targets have no such limit.
+	ColdPerSecond float64
+	// ColdTime is how long a target stays cold after its start.
+	ColdTime time.Duration
 }
 
 // Target describes a target that the pool may use.
@@ -214,6 +219,9 @@
 	// ReasonLimitReached means that all usable targets name limits, and that the request would
 	// be late if it waited until one of them may get it.
 	ReasonLimitReached = "LimitReached"
+	// ReasonHeldOff means that all usable targets want nothing from this host until the
+	// request would be late.
+	ReasonHeldOff = "HeldOff"
 	// ReasonNoTarget means that all targets are leaving or draining, or that there are none.
 	ReasonNoTarget = "NoTarget"
 	// ReasonDeadline means that an answer before the deadline is unlikely. The deadline need not have passed.
--- a/pkg/limit/model_test.go
+++ b/pkg/limit/model_test.go
@@ -119,11 +119,11 @@
 	return m.isBursty && len(m.history)%350 < 300
 }
 
-// worstWindow is the largest number of requests in a window.
-func worstWindow(sent []time.Time) int {
+// worstWindow is the largest number of requests in a window of the given length.
+func worstWindow(sent []time.Time, length time.Duration) int {
 	worst, first := 0, 0
 	for i, at := range sent {
-		for at.Sub(sent[first]) > modelWindow {
+		for at.Sub(sent[first]) > length {
 			first++
 		}
 		worst = max(worst, i-first+1)
@@ -204,21 +204,23 @@
 	}
 }
 
+// disturbances are what may happen to the hosts of a model.
+var disturbances = []struct {
+	name    string
+	disturb func(m *model)
+}{
+	{"undisturbed", undisturbed},
+	{"one after the other", oneAfterTheOther},
+	{"all at once", allAtOnce},
+	{"divided", divided},
+	{"isolated", isolated},
+	{"frozen owners", frozenOwners},
+	{"mixed", mixed},
+}
+
 // TestModelFleetStaysBelowLimit checks that the fleet sends a target no more than 1.5 times
 // its limit and five requests in any window, whatever the views of the hosts are.
 func TestModelFleetStaysBelowLimit(t *testing.T) {
-	disturbances := []struct {
-		name    string
-		disturb func(m *model)
-	}{
-		{"undisturbed", undisturbed},
-		{"one after the other", oneAfterTheOther},
-		{"all at once", allAtOnce},
-		{"divided", divided},
-		{"isolated", isolated},
-		{"frozen owners", frozenOwners},
-		{"mixed", mixed},
-	}
 	for _, d := range disturbances {
 		for _, hosts := range []int{1, 3, 13, 100, 313} {
 			for _, perSecond := range []float64{0, 0.3, 1, 3.4, 20} {
@@ -229,7 +231,7 @@
 						m.isBursty = seed%2 == 1
 						m.run(d.disturb)
 						allowed := 1.5*perSecond*modelWindow.Seconds() + 5
-						if worst := worstWindow(m.sent); float64(worst) > allowed {
+						if worst := worstWindow(m.sent, modelWindow); float64(worst) > allowed {
 							t.Errorf("seed %d: %d requests in %v, allowed %.1f", seed, worst, modelWindow, allowed)
 						}
 						t.Logf("seed %d: %.2f a second", seed, float64(len(m.sent))/modelDuration.Seconds())
@@ -240,6 +242,29 @@
 	}
 }
 
+// TestModelColdTargetStaysWhole checks that the fleet sends a cold target no more than 1.5
+// times its rate and eight requests in any second, whatever the views of the hosts are.
+func TestModelColdTargetStaysWhole(t *testing.T) {
+	for _, d := range disturbances {
+		for _, hosts := range []int{1, 13, 110} {
+			for _, perSecond := range []float64{1, 7.7, 40} {
+				t.Run(fmt.Sprintf("%s/%d hosts/%.2g a second", d.name, hosts, perSecond), func(t *testing.T) {
+					t.Parallel()
+					for seed := range uint64(modelSeeds) {
+						m := newModel(hosts, perSecond, seed)
+						m.isBursty = seed%2 == 1
+						m.run(d.disturb)
+						allowed := 1.5*perSecond + 8
+						if worst := worstWindow(m.sent, time.Second); float64(worst) > allowed {
+							t.Errorf("seed %d: %d requests in a second, allowed %.1f", seed, worst, allowed)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
 // TestModelFindsExcess checks that the model notices hosts that apply the limit each for
 // itself.
 func TestModelFindsExcess(t *testing.T) {
@@ -256,7 +281,7 @@
 		}
 		m.now = m.now.Add(modelStep)
 	}
-	if worst := worstWindow(m.sent); worst <= 11 {
+	if worst := worstWindow(m.sent, modelWindow); worst <= 11 {
 		t.Errorf("only %d requests in %v", worst, modelWindow)
 	}
 	if !slices.IsSortedFunc(m.sent, time.Time.Compare) {
--- a/pkg/spec/document.go
+++ b/pkg/spec/document.go
@@ -72,6 +72,11 @@
 	Holders int
 	// DirectoryHold is how long callers may cache the directory.
 	DirectoryHold time.Duration
+	// ColdPerSecond is the number of requests a second that a target which is not warm takes
+	// from all entry hosts together, and ColdTime is how long it takes to become warm. Both are
+	// zero if the service has no such limit. Texts of documents don't have them.
+	ColdPerSecond float64
+	ColdTime      time.Duration
 	// AnswerBytesRemembered is the largest response body stored for a request with an idempotency key.
 	AnswerBytesRemembered int
 	// RememberFor is not used by any host. Entry hosts store the outcome of a request until
