--- a/internal/entry/activate.go
+++ b/internal/entry/activate.go
@@ -16,7 +16,10 @@
 func (d *Daemon) activate(f *followedTopic, now time.Time) {
 	switch f.name {
 	case TopicConfiguration:
-		d.activateConfiguration(f.topic.Facts(), now)
+		newest := f.topic.Facts()
+		// First, so that a new service begins with the evacuations.
+		d.activateEvacuations(newest, now)
+		d.activateConfiguration(newest, now)
 	case TopicTargets:
 		d.activateTargets(f.outageRetention.AddRetained(now, f.topic.Facts()), now)
 	}
--- a/internal/entry/adapter.go
+++ b/internal/entry/adapter.go
@@ -51,6 +51,9 @@
 	Configuration(newest []facts.Fact) (*table.Table, []spec.Document, error)
 	// Targets returns the targets of the well-formed records and an error for each malformed one.
 	Targets(newest []facts.Fact) ([]plat.Host, []error)
+	// Evacuated returns the failure domains that the operator wants to get nothing, from the
+	// facts of the configuration.
+	Evacuated(newest []facts.Fact) []string
 }
 
 // Adapter connects a daemon to a platform. Without a store the daemon reads documents
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -87,6 +87,8 @@
 	targets       *followedTopic
 	routes        *table.Table
 	splitter      *table.Splitter
+	// evacuated are the failure domains that are evacuated, in order.
+	evacuated []string
 	// joinPhase says whether the membership table has settled, which means that it is
 	// complete enough to compute the steered hosts from it.
 	joinPhase member.JoinPhase
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -77,6 +77,8 @@
 	limitsInForce atomic.Int64
 	// heldOffTargets is the number of targets that hold off this host.
 	heldOffTargets atomic.Int64
+	// evacuatedTargets is the number of targets in evacuated failure domains.
+	evacuatedTargets atomic.Int64
 	// coldTargets is the number of targets that are not known to be warm.
 	coldTargets atomic.Int64
 	// attemptsRunning is the number of attempts that have not ended.
@@ -143,12 +145,14 @@
 		holdOffWarnedAt:   make(map[string]time.Time),
 	}
 	s.client = target.NewClient(s.limits, d.adapter.TargetProtocol)
+	s.pool.SetEvacuated(now, d.evacuated)
 	if plan := d.stopPlan.Load(); plan != nil {
 		s.pool.StopAt(now, plan.endsAt)
 	}
 	d.metrics.GetOrCreateGauge(fmt.Sprintf("curranttiller_service_limits_in_force{service=%q}", name), func() float64 { return float64(s.limitsInForce.Load()) })
 	d.metrics.GetOrCreateGauge(fmt.Sprintf("curranttiller_service_held_off_targets{service=%q}", name), func() float64 { return float64(s.heldOffTargets.Load()) })
 	d.metrics.GetOrCreateGauge(fmt.Sprintf("curranttiller_service_cold_targets{service=%q}", name), func() float64 { return float64(s.coldTargets.Load()) })
+	d.metrics.GetOrCreateGauge(fmt.Sprintf("curranttiller_service_evacuated_targets{service=%q}", name), func() float64 { return float64(s.evacuatedTargets.Load()) })
 	return s
 }
 
@@ -357,6 +361,7 @@
 		s.client.CloseExpired(now)
 		s.recordEjections(now)
 		s.updateLimitGauge(now)
+		s.evacuatedTargets.Store(int64(s.pool.Evacuated()))
 		s.coldTargets.Store(int64(s.pool.ColdTargets(now)))
 		s.heldOffTargets.Store(int64(len(s.pool.HeldOff(now))))
 	}
--- a/pkg/choose/departure.go
+++ b/pkg/choose/departure.go
@@ -126,7 +126,7 @@
 		return
 	}
 	hasOther := slices.ContainsFunc(p.targets, func(s *targetState) bool {
-		return !s.Leaving && !s.draining && !p.hasDeparted(s)
+		return !s.Leaving && !s.draining && !s.evacuated && !p.hasDeparted(s)
 	})
 	for _, s := range p.targets {
 		s.departing = p.hasDeparted(s) && (hasOther || now.Sub(p.departures[s.Name].learnedAt) >= lastResortTime)
--- a/pkg/choose/observation.go
+++ b/pkg/choose/observation.go
@@ -35,7 +35,7 @@
 	var names []string
 	for i := range probed {
 		s := p.held[(first+i)%len(p.held)]
-		if s.Leaving || s.departing || s.estimate.probePending || now.Sub(s.estimate.slowdownAt) < p.settings.QuietAfter || !p.limitAllowsProbe(now, s) {
+		if s.Leaving || s.departing || s.evacuated || s.estimate.probePending || now.Sub(s.estimate.slowdownAt) < p.settings.QuietAfter || !p.limitAllowsProbe(now, s) {
 			continue
 		}
 		s.estimate.probePending = true
@@ -151,7 +151,7 @@
 	}
 	var names []string
 	for _, s := range p.targets {
-		if !s.Spare && !s.Leaving && !s.departing && s.inFlight == 0 && now.Sub(s.lastContact) > p.settings.QuietAfter && p.limitAllowsProbe(now, s) {
+		if !s.Spare && !s.Leaving && !s.departing && !s.evacuated && s.inFlight == 0 && now.Sub(s.lastContact) > p.settings.QuietAfter && p.limitAllowsProbe(now, s) {
 			p.spendLimit(now, s)
 			names = append(names, s.Name)
 		}
--- a/pkg/choose/pool.go
+++ b/pkg/choose/pool.go
@@ -142,6 +142,8 @@
 	usedByHost map[string][]*targetState
 	// limited are the targets that name a limit or have named one recently.
 	limited []*targetState
+	// evacuated are the failure domains whose targets get nothing.
+	evacuated map[string]bool
 	// cold are the targets that aren't known to be warm or have become so recently, and
 	// coldChanges the changes since the last call of TakeColdChanges.
 	cold        []*targetState
@@ -223,6 +225,7 @@
 		}
 		before := s.Target
 		s.Target = t
+		s.evacuated = p.evacuated[t.FailureDomain]
 		p.learnListedCold(now, s, before, isNew)
 		next = append(next, s)
 		byName[t.Name] = s
--- a/pkg/choose/target.go
+++ b/pkg/choose/target.go
@@ -76,6 +76,8 @@
 	draining bool
 	// departing is set if the target has said that it leaves, unless it is the last resort.
 	departing bool
+	// evacuated is set while the failure domain of the target is evacuated.
+	evacuated bool
 	// lastGrant is the sequence number of the last grant to the target.
 	lastGrant uint64
 	// removed is set if the target is no longer in Pool.targets, observed if it is in Pool.observed.
@@ -222,7 +224,8 @@
 	return !s.isLeaving() && !s.isEjected(now) && !s.isHeldOff(now)
 }
 
-// isLeaving reports whether the target is to get no new requests because it will end.
+// isLeaving reports whether the target is to get no new requests because it will end or its
+// failure domain is evacuated.
 func (s *targetState) isLeaving() bool {
-	return s.Leaving || s.draining || s.departing
+	return s.Leaving || s.draining || s.departing || s.evacuated
 }
--- a/pkg/choose/types.go
+++ b/pkg/choose/types.go
@@ -222,7 +222,8 @@
 	// ReasonHeldOff means that all usable targets want nothing from this host until the
 	// request would be late.
 	ReasonHeldOff = "HeldOff"
-	// ReasonNoTarget means that all targets are leaving or draining, or that there are none.
+	// ReasonNoTarget means that all targets are leaving, draining or in evacuated failure
+	// domains, or that there are none.
 	ReasonNoTarget = "NoTarget"
 	// ReasonDeadline means that an answer before the deadline is unlikely. The deadline need not have passed.
 	ReasonDeadline = "DeadlinePassed"
