--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -89,6 +89,8 @@
 	splitter      *table.Splitter
 	// routesReplaced is closed when other routes come into force, and then replaced.
 	routesReplaced chan struct{}
+	// evacuated are the failure domains that are evacuated, in order.
+	evacuated []string
 	// joinPhase says whether the membership table has settled, which means that it is
 	// complete enough to compute the steered hosts from it.
 	joinPhase member.JoinPhase
@@ -202,7 +204,7 @@
 		cancel: cancel,
 	}
 	d.counters = newCounters(d.metrics)
-	d.sharing.sharers = []sharer{&sharedLimits{}, sharedDepartures{}}
+	d.sharing.sharers = []sharer{&sharedLimits{}, sharedDepartures{}, sharedHoldOffs{}, sharedCold{}}
 	d.metrics.NewGauge("curranttiller_control_bytes", func() float64 { return float64(control.Load()) })
 	d.members = member.New(d.selfInfo(), d.timing(), incarnation)
 	// Without a store or without seeds, the membership table counts as settled from the start.
