admit, front, entry: bound what all callers together make a process hold

Cause: each connection was bounded, and the sum over a crowd was not; an answer that the caller doesn't read had no time limit. Package admit decides which connections are closed and which requests are refused, front counts heads, phases and requests, and entry counts bodies and answers.

--- a/internal/cmds/entry.go
+++ b/internal/cmds/entry.go
@@ -79,9 +79,14 @@
 // time of the collector.
 const gcPercent = 40
 
+// memoryLimitShare is the part of the memory of the process above which the garbage
+// collector works harder.
+const memoryLimitShare = 0.75
+
 // runEntry runs the daemon until a stop signal.
 func runEntry(s streams, path string, settings *config.Settings) error {
 	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryMB<<20)))
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	output := logs.NewQueue(logOutput(s, settings), time.Now)
@@ -171,8 +176,14 @@
 		server := platform.NewServer(daemon, settings, loggers.For("front"))
 		return server, server.Open(ctx)
 	}
-	limits := front.Limits{Deadline: settings.DeadlineAtMost, BodyBytes: int64(settings.BodyBytesAtMost)}
-	server := front.NewServer(daemon, limits, loggers.For("front"))
+	limits := front.Limits{
+		Deadline:    settings.DeadlineAtMost,
+		BodyBytes:   int64(settings.BodyBytesAtMost),
+		HeadBytes:   settings.HeadBytesAtMost,
+		HeadTimeout: settings.HeadTimeout,
+	}
+	gate := front.NewGate(front.NewGateLimits(settings), daemon.Metrics(), loggers.For("front"))
+	server := front.NewServer(daemon, limits, gate, loggers.For("front"))
 	listener, err := front.Listen(ctx, settings.CallerAddress)
 	if err != nil {
 		return nil, eris.Wrap(err, "listening for callers on the caller address")
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -115,11 +115,12 @@
 	// them from Descriptors and MemoryMB.
 	CallerConnections int
 	CallerBytes       int
-	// HeadBytesAtMost and HeadTimeout limit the head of a request. AnswerStall is how long a
-	// caller may take no byte of its answer.
-	HeadBytesAtMost int
-	HeadTimeout     time.Duration
-	AnswerStall     time.Duration
+	// HeadBytesAtMost, HeadFieldsAtMost and HeadTimeout limit the head of a request.
+	// AnswerStall is how long a caller may take no byte of its answer.
+	HeadBytesAtMost  int
+	HeadFieldsAtMost int
+	HeadTimeout      time.Duration
+	AnswerStall      time.Duration
 	// Pprof is "On" if the admin address serves the profiling endpoint, otherwise "Off".
 	Pprof string
 }
@@ -208,9 +209,10 @@
 	return []spec.Field{
 		{Section: "Host", Key: "MemoryMB", Unit: "MB", Default: "512", Allowed: "32 to 1048576", About: "Memory that the process may use. The garbage collector works harder above three quarters of it.", Set: spec.Int(&s.MemoryMB, 32, 1<<20)},
 		{Section: "Host", Key: "Descriptors", Unit: "descriptors", Default: "4096", Allowed: "256 to 1048576", About: "Number of descriptors that the process may have open, with those of files, for which 200 are kept.", Set: spec.Int(&s.Descriptors, 256, 1<<20)},
-		{Section: "Callers", Key: "ConnectionsAtMost", Unit: "connections", Default: "0", Allowed: "0 to 1048576; 0 means two thirds of Descriptors less 200", About: "Largest number of open connections of callers. Beyond it, connections that have sent no whole head are closed first, then idle ones.", Set: spec.Int(&s.CallerConnections, 0, 1<<20)},
+		{Section: "Callers", Key: "ConnectionsAtMost", Unit: "connections", Default: "0", Allowed: "0 to 1048576; 0 means two thirds of Descriptors less 200, or one for each 96 KiB of MemoryMB if that is less", About: "Largest number of open connections of callers. Beyond it, connections that have sent no whole head are closed first, then idle ones.", Set: spec.Int(&s.CallerConnections, 0, 1<<20)},
 		{Section: "Callers", Key: "HeldBytesAtMost", Unit: "bytes", Default: "0", Allowed: "0 to 1099511627776; 0 means an eighth of MemoryMB", About: "Largest number of bytes held for callers: heads, bodies in memory and answers that are not read. Beyond it, connections with unfinished heads are closed first, then those with unfinished bodies and those that read no answer; further requests are refused with 503.", Set: spec.Int(&s.CallerBytes, 0, 1<<40)},
 		{Section: "Callers", Key: "HeadBytesAtMost", Unit: "bytes", Default: "65536", Allowed: "4096 to 1048576", About: "Largest head of a request. A longer one gets status 431.", Set: spec.Int(&s.HeadBytesAtMost, 4096, 1<<20)},
+		{Section: "Callers", Key: "HeadFieldsAtMost", Unit: "lines", Default: "8192", Allowed: "100 to 1048576", About: "Largest number of lines in the head of a request. One with more gets status 431.", Set: spec.Int(&s.HeadFieldsAtMost, 100, 1<<20)},
 		{Section: "Callers", Key: "HeadMillis", Unit: "ms", Default: "5000", Allowed: "100 to 600000", About: "How long a caller may take to send the head of a request.", Set: spec.Millis(&s.HeadTimeout, 100*time.Millisecond, 10*time.Minute)},
 		{Section: "Callers", Key: "AnswerStallMillis", Unit: "ms", Default: "30000", Allowed: "100 to 3600000", About: "How long a caller may read no byte of its answer before the connection is closed.", Set: spec.Millis(&s.AnswerStall, 100*time.Millisecond, time.Hour)},
 	}
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
 
 	"gitlab.com/curranttiller/curranttiller/internal/route"
+	"gitlab.com/curranttiller/curranttiller/pkg/admit"
 	"gitlab.com/curranttiller/curranttiller/pkg/choose"
 	"gitlab.com/curranttiller/curranttiller/pkg/fault"
 )
@@ -15,6 +17,9 @@
 // another attempt can send it again.
 const maxReplayBodyBytes = 64 << 10
 
+// errMemoryFull means that no more bytes may be held for callers.
+var errMemoryFull = errors.New("no more bytes may be held for callers")
+
 // requestBody is the body of a request. If it is whole in memory, every attempt reads it
 // from its start. Otherwise it is still arriving and belongs to the first attempt that
 // takes it, so that the request can't have another one. Every kind of attempt asks here:
@@ -31,14 +36,17 @@
 // newRequestBody reads a body of at most maxReplayBodyBytes into memory, and sets its
 // length in the request if that was unknown. A non-idempotent request keeps a body of
 // length zero, because net/http may send a request without a body twice.
-func newRequestBody(request *route.Request) (*requestBody, error) {
+func newRequestBody(ctx context.Context, request *route.Request) (*requestBody, error) {
 	switch {
 	case request.IsIdempotent() && request.ContentLength == 0:
 		return &requestBody{}, nil
 	case request.ContentLength > maxReplayBodyBytes:
 		return &requestBody{stream: request.Body, hasBody: true}, nil
 	case request.ContentLength < 0:
-		return newBodyOfUnknownLength(request)
+		return newBodyOfUnknownLength(ctx, request)
+	}
+	if !admit.FromContext(ctx).Hold(int(request.ContentLength)) {
+		return nil, errMemoryFull
 	}
 	buffered := make([]byte, request.ContentLength)
 	if _, err := io.ReadFull(request.Body, buffered); err != nil {
@@ -47,8 +55,9 @@
 	return &requestBody{buffered: buffered, hasBody: true}, nil
 }
 
-func newBodyOfUnknownLength(request *route.Request) (*requestBody, error) {
-	buffered, err := io.ReadAll(io.LimitReader(request.Body, maxReplayBodyBytes+1))
+func newBodyOfUnknownLength(ctx context.Context, request *route.Request) (*requestBody, error) {
+	body := heldReader{Reader: request.Body, account: admit.FromContext(ctx)}
+	buffered, err := io.ReadAll(io.LimitReader(body, maxReplayBodyBytes+1))
 	if err != nil {
 		return nil, err
 	}
@@ -59,6 +68,22 @@
 	return &requestBody{buffered: buffered, hasBody: true}, nil
 }
 
+// heldReader counts what is read as held and fails when no more may be held.
+type heldReader struct {
+	io.Reader
+
+	account admit.Account
+}
+
+// Read implements io.Reader.
+func (r heldReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 && !r.account.Hold(n) {
+		return 0, errMemoryFull
+	}
+	return n, err
+}
+
 // canBeTaken reports whether another attempt may have the body.
 func (b *requestBody) canBeTaken() bool {
 	return b.stream == nil || !b.isTaken
@@ -91,6 +116,8 @@
 func (d *Daemon) bodyFault(cause error) *fault.Error {
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(cause, errMemoryFull):
+		return fault.Wrap(cause, fault.NotRun, http.StatusServiceUnavailable, admit.ReasonMemoryFull)
 	case errors.As(cause, &tooLarge):
 		return fault.Wrap(cause, fault.NotRun, http.StatusRequestEntityTooLarge, "BodyTooLarge")
 	case d.areRequestsEnded():
--- a/internal/entry/body_test.go
+++ b/internal/entry/body_test.go
@@ -35,7 +35,7 @@
 			if tt.hasLength {
 				request.ContentLength = int64(tt.size)
 			}
-			body, err := newRequestBody(request)
+			body, err := newRequestBody(t.Context(), request)
 			is.NoErr(err)
 			is.Equal(body.attemptsAtMost(3) == 3, tt.isInMemory)
 			attempts := 0
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -41,7 +41,7 @@
 // example because the connection is lost, and the body can be sent again, it does so
 // once more. The home deduplicates the two submissions, so the work does not run twice.
 func (d *Daemon) forwardKeyed(ctx context.Context, address string, request *route.Request, w http.ResponseWriter) error {
-	body, err := newRequestBody(request)
+	body, err := newRequestBody(ctx, request)
 	if err != nil {
 		// An earlier submission may have run, and only the home can rule that out.
 		return d.bodyFault(err).WithVerdict(fault.MayHaveRun)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -10,6 +10,7 @@
 
 	"gitlab.com/curranttiller/curranttiller/internal/route"
 	"gitlab.com/curranttiller/curranttiller/internal/target"
+	"gitlab.com/curranttiller/curranttiller/pkg/admit"
 	"gitlab.com/curranttiller/curranttiller/pkg/choose"
 	"gitlab.com/curranttiller/curranttiller/pkg/event"
 	"gitlab.com/curranttiller/curranttiller/pkg/fault"
@@ -20,6 +21,13 @@
 	// maxBufferedAnswerBytes is how much of an answer's body is read before its attempt
 	// wins. Until then the answer of another attempt may be used instead.
 	maxBufferedAnswerBytes = 256 << 10
+	// minPrefixBytes is the first part of an answer's body that is read. It is read even if
+	// no more may be held for the caller.
+	minPrefixBytes = 2 << 10
+	// copyBytes is the buffer for the rest of an answer, of which smallCopyBytes are used if
+	// no more may be held for the caller.
+	copyBytes      = 32 << 10
+	smallCopyBytes = 4 << 10
 	// answerGrace is how long after the deadline an answer that is on its way is still accepted.
 	answerGrace = 30 * time.Millisecond
 	// minRescueDelay is the shortest wait for an answer before a rescue, unless half of the time to the deadline is shorter.
@@ -41,6 +49,8 @@
 	// running counts the attempts that were sent and have not been reported to the pool as finished.
 	running int
 	body    *requestBody
+	// account records what is held for the caller.
+	account admit.Account
 	// rescued is set once the rescue timer has fired, even if no attempt was sent for it.
 	rescued     bool
 	firstSentAt time.Time
@@ -74,7 +84,7 @@
 	s.metrics.requests.Inc()
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline.Add(answerGrace))
 	defer cancel()
-	body, err := newRequestBody(request)
+	body, err := newRequestBody(ctx, request)
 	if err != nil {
 		return s.daemon.bodyFault(err)
 	}
@@ -97,6 +107,7 @@
 		results:  make(chan *attemptResult, maxAttempts),
 		attempts: make(map[int]*attempt),
 		body:     body,
+		account:  admit.FromContext(ctx),
 	}
 	// Entry hosts set header.Retry on every attempt after the first, and targets may copy
 	// it to the calls that they make for these. Such a call gets no retries and hedges, so
@@ -290,20 +301,43 @@
 	}
 	result.answer = answer
 	s.recordDeparture(grant.Target, grant.TargetStartedAt, sentAt, answer.Departure, statedInAnswer)
-	result.prefix, err = io.ReadAll(io.LimitReader(answer.Body, maxBufferedAnswerBytes+1))
+	result.prefix, result.whole, err = readPrefix(ctx, answer.Body)
 	result.latency = time.Since(sentAt)
 	if err != nil {
 		_ = answer.Body.Close()
 		result.err = fault.Wrap(err, fault.Ran, http.StatusBadGateway, "AnswerCut")
 		return result
 	}
-	result.whole = len(result.prefix) <= maxBufferedAnswerBytes
 	if result.whole {
 		_ = answer.Body.Close()
 	}
 	return result
 }
 
+// readPrefix reads the start of an answer, up to maxBufferedAnswerBytes or what may be held
+// for the caller. whole says that the answer has ended.
+func readPrefix(ctx context.Context, body io.Reader) (prefix []byte, whole bool, err error) {
+	account := admit.FromContext(ctx)
+	for len(prefix) <= maxBufferedAnswerBytes {
+		if len(prefix) == cap(prefix) {
+			grown := min(max(2*cap(prefix), minPrefixBytes), maxBufferedAnswerBytes+1)
+			if !account.Hold(grown-cap(prefix)) && len(prefix) > 0 {
+				return prefix, false, nil
+			}
+			prefix = append(make([]byte, 0, grown), prefix...)
+		}
+		n, err := body.Read(prefix[len(prefix):cap(prefix)])
+		prefix = prefix[:len(prefix)+n]
+		if errors.Is(err, io.EOF) {
+			return prefix, len(prefix) <= maxBufferedAnswerBytes, nil
+		}
+		if err != nil {
+			return prefix, false, err
+		}
+	}
+	return prefix, false, nil
+}
+
 // handleResult reports the end of an attempt to the pool and requests a retry if one is
 // safe. done means that the caller is answered now, with failed or, if that is nil, with
 // the answer in result. Otherwise another attempt is running or has been requested.
@@ -421,7 +455,11 @@
 		return r.abortAnswer(won, err)
 	}
 	if !won.whole {
-		if _, err := io.CopyBuffer(w, answer.Body, make([]byte, 32<<10)); err != nil {
+		buffer := make([]byte, smallCopyBytes)
+		if r.account.Hold(copyBytes) {
+			buffer = make([]byte, copyBytes)
+		}
+		if _, err := io.CopyBuffer(w, answer.Body, buffer); err != nil {
 			return r.abortAnswer(won, err)
 		}
 		_ = answer.Body.Close()
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -119,7 +119,7 @@
 	if address == "" || request.Forwarded {
 		return s.serveRequest(ctx, request, w)
 	}
-	body, err := newRequestBody(request)
+	body, err := newRequestBody(ctx, request)
 	if err != nil {
 		return d.bodyFault(err)
 	}
--- /dev/null
+++ b/internal/front/gate.go
@@ -0,0 +1,378 @@
+package front
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"gitlab.com/curranttiller/curranttiller/internal/config"
+	"gitlab.com/curranttiller/curranttiller/pkg/admit"
+	"gitlab.com/curranttiller/curranttiller/pkg/fault"
+)
+
+const (
+	// fieldBytes is about what a field of a head takes beside its text, while the head is
+	// read and as long as the request is in progress.
+	fieldBytes = 256
+	// headByteCost is about how many bytes a byte of a head takes while it is read.
+	headByteCost = 2
+	// requestBytes is about what the goroutines and buffers of a request take.
+	requestBytes = 16 << 10
+	// writePieceBytes is the part of an answer that a caller must accept within the limit
+	// for answers that it doesn't read.
+	writePieceBytes = 16 << 10
+	// refusedRetryAfter is when a caller whose request was refused may return.
+	refusedRetryAfter = time.Second
+	// logPeriod is the shortest time between two log lines about closed connections.
+	logPeriod = time.Second
+	// fileDescriptors is the number of descriptors that sockets don't use, and callerShare
+	// the part of the others that connections of callers may use. The rest is for the calls
+	// of the system itself.
+	fileDescriptors = 200
+	callerShare     = 2.0 / 3
+	// connectionBytes is the memory of the process for each connection of a caller that may
+	// be open.
+	connectionBytes = 96 << 10
+	// heldShare is the part of the memory of the process that is held for callers at most.
+	heldShare = 1.0 / 8
+)
+
+var errShed = errors.New("connection was closed because the host holds too much for callers")
+
+// tooManyFields is the answer to a head with more fields than allowed.
+const tooManyFields = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+// GateLimits bound what callers can make the process hold.
+type GateLimits struct {
+	admit.Limits
+
+	// Fields is the largest number of lines in a head.
+	Fields int
+	// AnswerStall is how long a caller may take no byte of its answer.
+	AnswerStall time.Duration
+}
+
+// NewGateLimits returns the limits that settings state or imply.
+func NewGateLimits(settings *config.Settings) GateLimits {
+	memory := settings.MemoryMB << 20
+	limits := GateLimits{Fields: settings.HeadFieldsAtMost, AnswerStall: settings.AnswerStall}
+	limits.Connections = settings.CallerConnections
+	if limits.Connections == 0 {
+		limits.Connections = min(int(callerShare*float64(settings.Descriptors-fileDescriptors)), memory/connectionBytes)
+	}
+	limits.Bytes = settings.CallerBytes
+	if limits.Bytes == 0 {
+		limits.Bytes = int(heldShare * float64(memory))
+	}
+	return limits
+}
+
+// Gate bounds the connections of callers to one or more HTTP servers, and what is held for
+// them. It is safe for concurrent use.
+type Gate struct {
+	limits          GateLimits
+	log             *slog.Logger
+	lastID          atomic.Uint64
+	closed, refused *metrics.Counter
+
+	mu    sync.Mutex
+	table *admit.Table
+	conns map[uint64]*gatedConn
+	// unlogged is the number of connections closed since the last log line, at loggedAt.
+	unlogged int
+	loggedAt time.Time
+}
+
+// NewGate returns a gate without connections, which registers its metrics in a set.
+func NewGate(limits GateLimits, set *metrics.Set, log *slog.Logger) *Gate {
+	g := &Gate{
+		limits:  limits,
+		log:     log,
+		closed:  set.NewCounter("curranttiller_caller_connections_shed_total"),
+		refused: set.NewCounter("curranttiller_caller_requests_refused_for_memory_total"),
+		table:   admit.New(limits.Limits),
+		conns:   make(map[uint64]*gatedConn),
+	}
+	set.NewGauge("curranttiller_caller_connections", func() float64 { return float64(g.count(g.table.Connections)) })
+	set.NewGauge("curranttiller_caller_bytes_held", func() float64 { return float64(g.count(g.table.Held)) })
+	return g
+}
+
+func (g *Gate) count(value func() int) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return value()
+}
+
+// Follow makes a server tell the gate of its connections and requests. It must be called
+// once, after Tracker.Follow and before the server serves a listener of Guard.
+// refuse answers a request for which there is no room.
+func (g *Gate) Follow(server *http.Server, refuse RefuseFunc) {
+	next := server.ConnState
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		if c, ok := conn.(*gatedConn); ok {
+			c.connChanged(state)
+		}
+		if next != nil {
+			next(conn, state)
+		}
+	}
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		if c, ok := conn.(*gatedConn); ok {
+			return admit.WithAccount(ctx, c)
+		}
+		return ctx
+	}
+	server.Handler = g.withAccount(server.Handler, refuse)
+}
+
+// RefuseFunc answers a request that was refused before a handler got it.
+type RefuseFunc func(w http.ResponseWriter, r *http.Request, failed *fault.Error)
+
+// withAccount refuses requests that need more than may be held.
+func (g *Gate) withAccount(next http.Handler, refuse RefuseFunc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := admit.FromContext(r.Context()).(*gatedConn)
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
+		}
+		if !c.Hold(requestBytes + headBytes(r)) {
+			g.refused.Inc()
+			w.Header().Set("Connection", "close")
+			refuse(w, r, fault.New(fault.NotRun, http.StatusServiceUnavailable, admit.ReasonMemoryFull).WithRetryAfter(refusedRetryAfter))
+			return
+		}
+		if r.ContentLength != 0 {
+			c.enter(admit.Body)
+			r.Body = &gatedBody{ReadCloser: r.Body, conn: c}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// headBytes returns about what the head of a request takes beyond a usual one.
+func headBytes(r *http.Request) int {
+	size := len(r.RequestURI)
+	for name, values := range r.Header {
+		size += len(name)
+		for _, value := range values {
+			size += len(value) + fieldBytes
+		}
+	}
+	return size
+}
+
+// Guard returns a listener whose connections are bounded.
+func (g *Gate) Guard(listener net.Listener) net.Listener {
+	return &gatedListener{Listener: listener, gate: g}
+}
+
+type gatedListener struct {
+	net.Listener
+
+	gate *Gate
+}
+
+// Accept returns the next connection for which there is room.
+func (l *gatedListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.gate.open(conn); c != nil {
+			return c, nil
+		}
+		_ = conn.Close()
+	}
+}
+
+// open returns nil if there is no room for the connection.
+func (g *Gate) open(conn net.Conn) *gatedConn {
+	address, _, err := net.SplitHostPort(conn.RemoteAddr().String())
+	if err != nil {
+		address = conn.RemoteAddr().String()
+	}
+	c := &gatedConn{Conn: conn, gate: g, id: g.lastID.Add(1)}
+	g.mu.Lock()
+	shed, ok := g.table.Open(c.id, address, time.Now())
+	if ok {
+		g.conns[c.id] = c
+	}
+	victims := g.take(shed)
+	g.mu.Unlock()
+	if !ok {
+		g.closeAll(victims, 1)
+		return nil
+	}
+	g.closeAll(victims, 0)
+	return c
+}
+
+// take returns the connections with these ids. It must be called with mu held.
+func (g *Gate) take(ids []uint64) []*gatedConn {
+	conns := make([]*gatedConn, 0, len(ids))
+	for _, id := range ids {
+		if c, exists := g.conns[id]; exists {
+			conns = append(conns, c)
+			delete(g.conns, id)
+		}
+	}
+	return conns
+}
+
+// closeAll closes connections that were shed, and counts those that were not opened too.
+func (g *Gate) closeAll(conns []*gatedConn, unopened int) {
+	for _, c := range conns {
+		_ = c.Conn.Close()
+	}
+	count := len(conns) + unopened
+	if count == 0 {
+		return
+	}
+	g.closed.Add(count)
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.unlogged += count
+	if now.Sub(g.loggedAt) < logPeriod {
+		return
+	}
+	g.log.Warn("connections of callers are closed to stay within the limits", "Closed", g.unlogged, "Open", g.table.Connections(), "BytesHeld", g.table.Held())
+	g.unlogged, g.loggedAt = 0, now
+}
+
+// gatedConn is a connection of a caller. The phase is also held here, so that reads during
+// a request need no lock.
+type gatedConn struct {
+	net.Conn
+
+	gate  *Gate
+	id    uint64
+	phase atomic.Int32
+	// lines is the number of line ends in the head that arrives. Only Read uses it, and the
+	// server never reads while it changes the phase.
+	lines int
+}
+
+func (c *gatedConn) enter(phase admit.Phase) {
+	c.phase.Store(int32(phase))
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	c.gate.table.Enter(c.id, phase, time.Now())
+}
+
+func (c *gatedConn) connChanged(state http.ConnState) {
+	if state != http.StateActive && state != http.StateIdle {
+		return
+	}
+	c.enter(admit.Idle) // releases the bytes of the head, or those of the request
+	if state == http.StateActive {
+		c.lines = 0
+		c.enter(admit.Running)
+	}
+}
+
+// Hold implements admit.Account. It closes other connections if that makes room.
+func (c *gatedConn) Hold(size int) bool {
+	c.gate.mu.Lock()
+	shed, ok := c.gate.table.Hold(c.id, size, time.Now())
+	victims := c.gate.take(shed)
+	c.gate.mu.Unlock()
+	c.gate.closeAll(victims, 0)
+	return ok
+}
+
+// Read implements net.Conn. What arrives of a head counts as held.
+func (c *gatedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	phase := admit.Phase(c.phase.Load())
+	if phase == admit.Body {
+		c.enter(admit.Body)
+	}
+	if phase == admit.Head || phase == admit.Idle {
+		if err := c.readHead(p[:n]); err != nil {
+			return 0, err
+		}
+	}
+	return n, err
+}
+
+// readHead counts a part of a head that has arrived. An error means that it is not read on.
+func (c *gatedConn) readHead(part []byte) error {
+	lines := bytes.Count(part, []byte("\n"))
+	c.lines += lines
+	if c.lines > c.gate.limits.Fields {
+		_ = c.SetWriteDeadline(time.Now().Add(c.gate.limits.AnswerStall))
+		_, _ = io.WriteString(c.Conn, tooManyFields)
+		return io.EOF // the server then closes the connection without an answer of its own
+	}
+	if !c.Hold(headByteCost*len(part) + lines*fieldBytes) {
+		return errShed
+	}
+	return nil
+}
+
+// Write implements net.Conn. It fails if the caller takes no bytes for too long.
+func (c *gatedConn) Write(p []byte) (int, error) {
+	written := 0
+	for {
+		if phase := admit.Phase(c.phase.Load()); phase == admit.Running || phase == admit.Answer {
+			c.enter(admit.Answer)
+		}
+		if err := c.SetWriteDeadline(time.Now().Add(c.gate.limits.AnswerStall)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(p[written:min(written+writePieceBytes, len(p))])
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+// CloseWrite lets the server end its answers before it closes the connection.
+func (c *gatedConn) CloseWrite() error {
+	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return closer.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (c *gatedConn) Close() error {
+	c.gate.mu.Lock()
+	c.gate.table.Close(c.id)
+	delete(c.gate.conns, c.id)
+	c.gate.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// gatedBody is the body of a request, which is whole when a read ends it.
+type gatedBody struct {
+	io.ReadCloser
+
+	conn *gatedConn
+}
+
+// Read implements io.Reader.
+func (b *gatedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && admit.Phase(b.conn.phase.Load()) == admit.Body {
+		b.conn.enter(admit.Running)
+	}
+	return n, err
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -20,9 +20,7 @@
 )
 
 const (
-	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 60 * time.Second
-	maxHeaderBytes    = 64 << 10
 	servicePrefix     = "/svc/"
 	keepAliveIdle     = 2 * time.Second
 	keepAliveInterval = time.Second
@@ -52,6 +50,9 @@
 	Deadline time.Duration
 	// BodyBytes is the size of the largest body. Requests with a larger one are refused.
 	BodyBytes int64
+	// HeadBytes and HeadTimeout limit the head of a request.
+	HeadBytes   int
+	HeadTimeout time.Duration
 }
 
 // Server is an HTTP server for callers.
@@ -61,25 +62,27 @@
 	log     *slog.Logger
 	http    *http.Server
 	tracker *Tracker
+	gate    *Gate
 	// listener is nil before Start.
 	listener net.Listener
 	done     sync.WaitGroup
 }
 
-// NewServer returns a server that is not started yet.
-func NewServer(handler Handler, limits Limits, log *slog.Logger) *Server {
-	s := &Server{handler: handler, limits: limits, log: log, tracker: NewTracker()}
+// NewServer returns a server that is not started yet, whose connections a gate bounds.
+func NewServer(handler Handler, limits Limits, gate *Gate, log *slog.Logger) *Server {
+	s := &Server{handler: handler, limits: limits, gate: gate, log: log, tracker: NewTracker()}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /tiller/directory", s.serveDirectory)
 	mux.HandleFunc(servicePrefix, s.serveRequest)
 	s.http = &http.Server{
 		Handler:           mux,
-		ReadHeaderTimeout: readHeaderTimeout,
+		ReadHeaderTimeout: limits.HeadTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		MaxHeaderBytes:    limits.HeadBytes,
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	s.tracker.Follow(s.http)
+	gate.Follow(s.http, func(w http.ResponseWriter, r *http.Request, failed *fault.Error) { refuse(w, r, rand.Text(), failed) })
 	return s
 }
 
@@ -99,7 +102,7 @@
 func (s *Server) Start(listener net.Listener) {
 	s.listener = listener
 	s.done.Go(func() {
-		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		if err := s.http.Serve(s.gate.Guard(listener)); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			s.log.Error("HTTP server for callers stopped with an error", "Error", err.Error())
 		}
 	})
@@ -133,13 +136,8 @@
 	id := rand.Text()
 	request, failed := s.parseRequest(id, r)
 	if failed != nil {
-		if r.Header.Get(header.IdempotencyKey) != "" {
-			// An earlier submission with the key may have run. Only the home of the key, the
-			// entry host that records its requests, can exclude that.
-			failed = failed.WithVerdict(fault.MayHaveRun)
-		}
 		s.log.Debug("caller's request refused", "Request", id, "Reason", failed.Reason)
-		route.WriteFault(w, id, failed)
+		refuse(w, r, id, failed)
 		return
 	}
 	request.Body = LimitBody(w, r.Body, s.limits.BodyBytes)
@@ -156,6 +154,16 @@
 	}
 }
 
+// refuse answers a request that is not passed on.
+func refuse(w http.ResponseWriter, r *http.Request, id string, failed *fault.Error) {
+	if r.Header.Get(header.IdempotencyKey) != "" {
+		// An earlier submission with the key may have run. Only the home of the key, the
+		// entry host that records its requests, can exclude that.
+		failed = failed.WithVerdict(fault.MayHaveRun)
+	}
+	route.WriteFault(w, id, failed)
+}
+
 func (s *Server) parseRequest(id string, r *http.Request) (*route.Request, *fault.Error) {
 	service, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, servicePrefix), "/")
 	if r.ContentLength > s.limits.BodyBytes {
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -12,10 +12,12 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 
 	"gitlab.com/curranttiller/curranttiller/internal/front"
 	"gitlab.com/curranttiller/curranttiller/internal/route"
+	"gitlab.com/curranttiller/curranttiller/pkg/admit"
 	"gitlab.com/curranttiller/curranttiller/pkg/caller"
 	"gitlab.com/curranttiller/curranttiller/pkg/fault"
 	"gitlab.com/curranttiller/curranttiller/pkg/header"
@@ -79,7 +81,7 @@
 			t.Parallel()
 			is := is.New(t)
 			handler := newBlockingHandler()
-			server := front.NewServer(handler, front.Limits{Deadline: time.Minute, BodyBytes: 1 << 20}, slog.New(slog.DiscardHandler))
+			server := front.NewServer(handler, front.Limits{Deadline: time.Minute, BodyBytes: 1 << 20, HeadBytes: 64 << 10, HeadTimeout: 5 * time.Second}, newGate(), slog.New(slog.DiscardHandler))
 			listener, err := front.Listen(t.Context(), "127.0.0.1:0")
 			is.NoErr(err)
 			server.Start(listener)
@@ -122,7 +124,7 @@
 func TestSlowBodyIsGivenUp(t *testing.T) {
 	is := is.New(t)
 	handler := newBlockingHandler()
-	server := front.NewServer(handler, front.Limits{Deadline: 200 * time.Millisecond, BodyBytes: 1 << 20}, slog.New(slog.DiscardHandler))
+	server := front.NewServer(handler, front.Limits{Deadline: 200 * time.Millisecond, BodyBytes: 1 << 20, HeadBytes: 64 << 10, HeadTimeout: 5 * time.Second}, newGate(), slog.New(slog.DiscardHandler))
 	listener, err := front.Listen(t.Context(), "127.0.0.1:0")
 	is.NoErr(err)
 	server.Start(listener)
@@ -137,6 +139,12 @@
 	is.True(response.Close)
 }
 
+// newGate returns a gate whose bounds the tests don't meet.
+func newGate() *front.Gate {
+	limits := front.GateLimits{Limits: admit.Limits{Connections: 1000, Bytes: 1 << 30}, Fields: 1000, AnswerStall: time.Minute}
+	return front.NewGate(limits, metrics.NewSet(), slog.New(slog.DiscardHandler))
+}
+
 func dial(t *testing.T, listener net.Listener) net.Conn {
 	t.Helper()
 	var dialer net.Dialer
@@ -210,7 +218,7 @@
 	for range rounds {
 		is := is.New(t)
 		handler := &echoHandler{got: make(map[string]bool)}
-		server := front.NewServer(handler, front.Limits{Deadline: time.Minute, BodyBytes: 1 << 20}, slog.New(slog.DiscardHandler))
+		server := front.NewServer(handler, front.Limits{Deadline: time.Minute, BodyBytes: 1 << 20, HeadBytes: 64 << 10, HeadTimeout: 5 * time.Second}, newGate(), slog.New(slog.DiscardHandler))
 		listener, err := front.Listen(t.Context(), "127.0.0.1:0")
 		is.NoErr(err)
 		server.Start(listener)
--- /dev/null
+++ b/pkg/admit/table_test.go
@@ -0,0 +1,120 @@
+package admit_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"gitlab.com/curranttiller/curranttiller/pkg/admit"
+)
+
+const (
+	crowd    = "192.0.2.1"
+	ordinary = "192.0.2.2"
+)
+
+// opened describes a connection that is open before the step that is tested.
+type opened struct {
+	address string
+	phase   admit.Phase
+	// age is how long ago the phase began, and held what is held for the connection.
+	age  time.Duration
+	held int
+}
+
+func newTable(t *testing.T, limits admit.Limits, open []opened, now time.Time) *admit.Table {
+	t.Helper()
+	table := admit.New(limits)
+	for i, o := range open {
+		id, since := uint64(i+1), now.Add(-o.age)
+		if _, ok := table.Open(id, o.address, since); !ok {
+			t.Fatalf("connection %d was not opened", id)
+		}
+		if _, ok := table.Hold(id, o.held, since); !ok {
+			t.Fatalf("nothing could be held for connection %d", id)
+		}
+		if o.phase != admit.Head {
+			table.Enter(id, o.phase, since)
+		}
+	}
+	return table
+}
+
+func TestOpen(t *testing.T) {
+	tests := []struct {
+		name   string
+		open   []opened
+		shed   []uint64
+		refuse bool
+	}{
+		{name: "room", open: []opened{{phase: admit.Running}}},
+		{name: "unfinished heads go before idle connections", open: []opened{{phase: admit.Idle, age: time.Minute}, {phase: admit.Running}, {phase: admit.Head}, {phase: admit.Answer}}, shed: []uint64{3}},
+		{name: "the address with most unfinished heads first", open: []opened{{address: ordinary, age: 2 * time.Second}, {address: crowd, age: time.Second}, {address: crowd}, {phase: admit.Running}}, shed: []uint64{2}},
+		{name: "the oldest head of one address", open: []opened{{age: time.Second}, {age: 3 * time.Second}, {age: 2 * time.Second}, {}}, shed: []uint64{2}},
+		{name: "the connection that is idle longest", open: []opened{{phase: admit.Running}, {phase: admit.Idle, age: time.Second}, {phase: admit.Idle, age: time.Minute}, {phase: admit.Body}}, shed: []uint64{3}},
+		{name: "a body that stands still", open: []opened{{phase: admit.Running, age: time.Minute}, {phase: admit.Body}, {phase: admit.Answer}, {phase: admit.Body, age: time.Second}}, shed: []uint64{4}},
+		{name: "an answer that is not read", open: []opened{{phase: admit.Running}, {phase: admit.Body}, {phase: admit.Answer, age: time.Second}, {phase: admit.Answer}}, shed: []uint64{3}},
+		{name: "requests in progress stay", open: []opened{{phase: admit.Running, age: time.Minute}, {phase: admit.Body}, {phase: admit.Answer}, {phase: admit.Running}}, refuse: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			table := newTable(t, admit.Limits{Connections: 4, Bytes: 1000}, tt.open, now)
+			shed, ok := table.Open(100, ordinary, now)
+			is.Equal(ok, !tt.refuse)
+			is.True(slices.Equal(shed, tt.shed))
+			is.True(table.Connections() <= 4)
+		})
+	}
+}
+
+func TestHold(t *testing.T) {
+	const (
+		limit = 64 << 10
+		kib   = 1 << 10
+	)
+	tests := []struct {
+		name   string
+		open   []opened
+		hold   int
+		shed   []uint64
+		refuse bool
+	}{
+		{name: "room", open: []opened{{held: 20 * kib}, {}}, hold: 20 * kib},
+		{name: "the largest unfinished head", open: []opened{{held: 15 * kib}, {held: 16 * kib}, {held: 14 * kib}, {held: 10 * kib}}, hold: 10 * kib, shed: []uint64{2}},
+		{name: "heads before stalled bodies", open: []opened{{phase: admit.Body, age: time.Minute, held: 30 * kib}, {held: 10 * kib}, {phase: admit.Running, held: 16 * kib}}, hold: 10 * kib, shed: []uint64{2}},
+		{name: "stalled bodies before stalled answers", open: []opened{{phase: admit.Answer, age: time.Minute, held: 30 * kib}, {phase: admit.Body, age: time.Minute, held: 10 * kib}, {phase: admit.Running, held: 16 * kib}}, hold: 10 * kib, shed: []uint64{2}},
+		{name: "connections that hold nothing stay", open: []opened{{}, {phase: admit.Running, held: 30 * kib}, {phase: admit.Running, held: 16 * kib}, {phase: admit.Running, held: 16 * kib}}, hold: 10 * kib, refuse: true},
+		{name: "large amounts leave room for small ones", open: []opened{{phase: admit.Running, held: 30 * kib}}, hold: 25 * kib, refuse: true},
+		{name: "small amounts use it", open: []opened{{phase: admit.Running, held: 48 * kib}}, hold: 15 * kib},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			table := newTable(t, admit.Limits{Connections: 10, Bytes: limit}, tt.open, now)
+			_, ok := table.Open(100, ordinary, now)
+			is.True(ok)
+			table.Enter(100, admit.Running, now)
+			shed, ok := table.Hold(100, tt.hold, now)
+			is.Equal(ok, !tt.refuse)
+			is.True(slices.Equal(shed, tt.shed))
+			is.True(table.Held() <= limit)
+		})
+	}
+}
+
+func TestHeldBytesAreReleased(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	table := newTable(t, admit.Limits{Connections: 10, Bytes: 1000}, []opened{{held: 100}, {held: 200}}, now)
+	table.Enter(1, admit.Idle, now)
+	is.Equal(table.Held(), 200)
+	table.Close(2)
+	is.Equal(table.Held(), 0)
+	_, ok := table.Hold(2, 1, now) // nothing is held for a connection that is closed
+	is.True(!ok)
+}
