allot: tokens of an owner keep organisations within their allotments

An organisation may have so many requests a second, summed over all hosts that may be cut off, frozen or restarted at any time. One host gives tokens to those that have demand, counts them until they are used, and each host has a small reserve for the time without an answer.

--- /dev/null
+++ b/pkg/allot/holder.go
@@ -0,0 +1,357 @@
+package allot
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// tokenLife is the time after which a token that was not used expires, counted from the
+	// question at the host and from the answer at the owner.
+	tokenLife = 4 * time.Second
+	// horizon is the time for which a host asks for tokens in advance.
+	horizon = 1500 * time.Millisecond
+	// resendAfter is the time after which a question counts as lost. It doubles with each
+	// question up to maxResendAfter. After silentAfter the owner counts as silent, so that no
+	// request waits for it.
+	resendAfter    = 40 * time.Millisecond
+	maxResendAfter = 160 * time.Millisecond
+	silentAfter    = 130 * time.Millisecond
+	// lowDemand is the demand up to which a part of the reserve, ordinaryPart, is used before the
+	// owner is asked, which saves messages.
+	lowDemand    = 2
+	ordinaryPart = 0.6
+	// askPeriod is the least time between two questions for which no request waits.
+	askPeriod = 100 * time.Millisecond
+	// dryPause is the time for which requests without a token are refused at once after the
+	// owner has had too few.
+	dryPause = 150 * time.Millisecond
+	// demandMemory is the time over which the demand is averaged.
+	demandMemory = time.Second
+	// forgetAfter is the time without requests after which an organisation is forgotten.
+	forgetAfter = 3 * Window
+	// maxDemands is the largest number of organisations in a question.
+	maxDemands = 250
+	// MaxWait is the longest time for which a request should wait for tokens.
+	MaxWait = 150 * time.Millisecond
+)
+
+// Verdict says whether a request may run.
+type Verdict int
+
+const (
+	// Refused means that the allotment has been reached.
+	Refused Verdict = iota
+	// Admitted means that the request may run.
+	Admitted
+	// Waiting means that the answer of the owner decides.
+	Waiting
+)
+
+// Demand is what a host asks of the owner for one organisation.
+type Demand struct {
+	Key uint32
+	// Held is the number of tokens that the host has. Waiting is the number of requests that
+	// wait for one, and Ahead that of the further tokens that it expects to need.
+	Held, Waiting, Ahead int
+}
+
+// Ask is a question of a host to the owner.
+type Ask struct {
+	// Number increases with each question. The answer to an earlier one is not accepted.
+	Number  uint64
+	Demands []Demand
+}
+
+// Given is the number of tokens that the owner gives for one organisation.
+type Given struct {
+	Key    uint32
+	Tokens int
+	// IsScarce says that the owner has hardly any left, so that it need not be asked again soon.
+	IsScarce bool
+}
+
+// Answer is the answer of the owner to the question with the same number.
+type Answer struct {
+	Number uint64
+	Given  []Given
+}
+
+// Holder is the part of one host: it takes a token for each request.
+type Holder struct {
+	purses map[uint32]*purse
+	// number is that of the last question, and askedAt its time.
+	number  uint64
+	askedAt time.Duration
+	// unansweredSince is the time of the first question since the last answer.
+	unansweredSince time.Duration
+	isUnanswered    bool
+	// resendAfter is the time after which the last question counts as lost.
+	resendAfter time.Duration
+	// draw returns random numbers from 0 to 1.
+	draw func() float64
+}
+
+// NewHolder returns a holder without tokens, whose first question has the number after first.
+func NewHolder(first uint64, draw func() float64) *Holder {
+	return &Holder{purses: make(map[uint32]*purse), number: first, askedAt: -time.Hour, draw: draw}
+}
+
+// purse is what a host has for one organisation.
+type purse struct {
+	terms   Terms
+	batches []batch
+	// waiting is the number of requests that wait, and askedFor that at the last question
+	// which had no token yet.
+	waiting, askedFor int
+	// demand is the number of requests a second at demandAt, averaged.
+	demand   float64
+	demandAt time.Duration
+	// dryUntil is the end of the time in which requests are refused at once.
+	dryUntil time.Duration
+	reserve  reserve
+}
+
+type batch struct {
+	tokens int
+	until  time.Duration
+}
+
+// Take decides on a request. If it has to wait, Resume must be called for it later.
+func (h *Holder) Take(now time.Duration, key uint32, terms Terms, spread Spread) Verdict {
+	p := h.purse(now, key, terms)
+	p.demand = p.demandNow(now) + 1/demandMemory.Seconds()
+	p.demandAt = now
+	size := spread.reserve(terms)
+	if !h.IsSilent(now) {
+		size *= ordinaryPart
+	}
+	switch {
+	case p.take(now):
+		return Admitted
+	case (p.demand <= lowDemand || h.IsSilent(now)) && p.reserve.take(now, size, h.draw):
+		return Admitted
+	case h.IsSilent(now) || now < p.dryUntil:
+		return Refused
+	default:
+		p.waiting++
+		return Waiting
+	}
+}
+
+// Resume decides again on a request that waits. With isLast it must not wait any longer.
+func (h *Holder) Resume(now time.Duration, key uint32, spread Spread, isLast bool) Verdict {
+	p := h.purses[key]
+	if p == nil {
+		return Refused
+	}
+	verdict := Waiting
+	switch {
+	case p.take(now):
+		verdict = Admitted
+	case now < p.dryUntil:
+		verdict = Refused
+	case h.IsSilent(now) || isLast:
+		verdict = Refused
+		if p.reserve.take(now, spread.reserve(p.terms), h.draw) {
+			verdict = Admitted
+		}
+	}
+	if verdict != Waiting {
+		p.waiting--
+	}
+	return verdict
+}
+
+// Abandon forgets a request that waits.
+func (h *Holder) Abandon(key uint32) {
+	if p := h.purses[key]; p != nil {
+		p.waiting--
+	}
+}
+
+// Return gives back the token of a request that has not run.
+func (h *Holder) Return(now time.Duration, key uint32) {
+	p := h.purses[key]
+	if p == nil || p.held(now) == 0 {
+		// The token may have expired.
+		return
+	}
+	p.batches[0].tokens++
+}
+
+// IsSilent reports whether the owner has not answered for some time.
+func (h *Holder) IsSilent(now time.Duration) bool {
+	return h.isUnanswered && now-h.unansweredSince > silentAfter
+}
+
+// NoOwner notes that there is no owner to ask.
+func (h *Holder) NoOwner() {
+	if !h.isUnanswered {
+		h.isUnanswered, h.unansweredSince = true, -time.Hour
+	}
+}
+
+// Ask returns the next question if one is due.
+func (h *Holder) Ask(now time.Duration) (Ask, bool) {
+	sinceAsked := now - h.askedAt
+	if h.isUnanswered && sinceAsked < h.resendAfter {
+		return Ask{}, false
+	}
+	demands, isUrgent := h.demands(now)
+	if len(demands) == 0 || (!isUrgent && sinceAsked < askPeriod) {
+		return Ask{}, false
+	}
+	h.number++
+	h.askedAt = now
+	if h.isUnanswered && h.unansweredSince >= 0 {
+		h.resendAfter = min(2*h.resendAfter, maxResendAfter)
+	} else {
+		h.isUnanswered, h.unansweredSince, h.resendAfter = true, now, resendAfter
+	}
+	return Ask{Number: h.number, Demands: mostUrgent(demands)}, true
+}
+
+// demands returns what the organisations need, and whether requests wait for it. It is empty
+// unless an organisation has less than half of the tokens that it should have. Then it is
+// worth asking for all that lack some.
+func (h *Holder) demands(now time.Duration) (demands []Demand, isUrgent bool) {
+	isNeeded := false
+	for key, p := range h.purses {
+		if now-p.demandAt > forgetAfter && p.waiting == 0 {
+			delete(h.purses, key)
+			continue
+		}
+		if now < p.dryUntil {
+			continue
+		}
+		held := p.held(now)
+		p.askedFor = max(p.waiting-held, 0)
+		d := Demand{Key: key, Held: held, Waiting: p.askedFor, Ahead: max(int(p.demandNow(now)*horizon.Seconds())-held, 0)}
+		isUrgent = isUrgent || d.Waiting > 0
+		isNeeded = isNeeded || d.Waiting > 0 || d.Ahead > held
+		if d.Waiting > 0 || d.Ahead > held {
+			demands = append(demands, d)
+		}
+	}
+	if !isNeeded {
+		return nil, false
+	}
+	return demands, isUrgent
+}
+
+// mostUrgent sorts the demands, and cuts them to those of maxDemands organisations for which
+// most requests wait.
+func mostUrgent(demands []Demand) []Demand {
+	slices.SortFunc(demands, func(a, b Demand) int {
+		return cmp.Or(cmp.Compare(b.Waiting, a.Waiting), cmp.Compare(a.Key, b.Key))
+	})
+	return demands[:min(len(demands), maxDemands)]
+}
+
+// Receive applies an answer, and reports whether it belongs to the last question.
+func (h *Holder) Receive(now time.Duration, answer Answer) bool {
+	if answer.Number != h.number || !h.isUnanswered {
+		return false
+	}
+	h.isUnanswered = false
+	until := h.askedAt + tokenLife
+	for _, given := range answer.Given {
+		p := h.purses[given.Key]
+		if p == nil {
+			continue
+		}
+		// The owner counts tokens for requests that wait as used, so those of requests that no
+		// longer wait are not kept.
+		tokens := given.Tokens - max(p.askedFor-max(p.waiting-p.held(now), 0), 0)
+		if tokens > 0 && now < until {
+			p.batches = append(p.batches, batch{tokens: tokens, until: until})
+		}
+		if given.IsScarce || given.Tokens < p.askedFor {
+			p.dryUntil = now + dryPause
+		}
+	}
+	return true
+}
+
+// Held returns the number of tokens for all organisations.
+func (h *Holder) Held(now time.Duration) int {
+	total := 0
+	for p := range maps.Values(h.purses) {
+		total += p.held(now)
+	}
+	return total
+}
+
+func (h *Holder) purse(now time.Duration, key uint32, terms Terms) *purse {
+	p := h.purses[key]
+	if p == nil {
+		p = &purse{terms: terms, demandAt: now}
+		h.purses[key] = p
+	}
+	if terms.isLowerThan(p.terms) {
+		p.batches = nil
+	}
+	p.terms = terms
+	return p
+}
+
+func (p *purse) demandNow(now time.Duration) float64 {
+	return p.demand * math.Exp(-max(now-p.demandAt, 0).Seconds()/demandMemory.Seconds())
+}
+
+// held drops expired tokens, and returns the number of those left.
+func (p *purse) held(now time.Duration) int {
+	total := 0
+	for len(p.batches) > 0 && (p.batches[0].until <= now || p.batches[0].tokens == 0) {
+		p.batches = p.batches[1:]
+	}
+	for _, b := range p.batches {
+		total += b.tokens
+	}
+	return total
+}
+
+func (p *purse) take(now time.Duration) bool {
+	if p.held(now) == 0 {
+		return false
+	}
+	p.batches[0].tokens--
+	return true
+}
+
+// reserve counts the requests without a token in slots of a second.
+type reserve struct {
+	slots [7]int
+	slot  int64
+	// extra is the random number that decides on a fraction of a request, for the time
+	// until redrawAt.
+	extra    float64
+	redrawAt time.Duration
+}
+
+// take takes one request of the given number in a window, if that is not used up.
+func (r *reserve) take(now time.Duration, size float64, draw func() float64) bool {
+	slot := int64(now / time.Second)
+	for ; r.slot < slot; r.slot++ {
+		if slot-r.slot > int64(len(r.slots)) {
+			r.slot = slot - int64(len(r.slots))
+		}
+		r.slots[(r.slot+1)%int64(len(r.slots))] = 0
+	}
+	if now >= r.redrawAt {
+		r.extra, r.redrawAt = draw(), now+Window
+	}
+	used := 0
+	for _, n := range r.slots {
+		used += n
+	}
+	if float64(used)+r.extra >= size {
+		return false
+	}
+	r.slots[slot%int64(len(r.slots))]++
+	return true
+}
