entry: requests beyond the allotment of their organisation get 429

Requests of an organisation with an allotment take a token before they enter the pool; the longest running steered host gives the tokens, asked by beacon datagrams that name their sender's address. A request that has not run gives its token back. The socket test now also checks the sender's address.

--- a/internal/beacon/message.go
+++ b/internal/beacon/message.go
@@ -48,6 +48,8 @@
 	Departures []ServiceDepartures
 	// Shared are facts of further kinds that the sender knows, also from other hosts.
 	Shared []SharedFacts
+	// From is the address from which the message was received. It is not part of the datagram.
+	From string
 }
 
 // WithObservations returns a copy of the message that carries observations of targets.
--- a/internal/beacon/message_test.go
+++ b/internal/beacon/message_test.go
@@ -63,6 +63,8 @@
 	sender.Send("127.0.0.1:39417", encoded)
 	select {
 	case m := <-got:
+		is.Equal(m.From, "127.0.0.1:39418")
+		m.From = ""
 		is.Equal(&m, message())
 	case <-t.Context().Done():
 		t.Fatal("no beacon arrived")
--- a/internal/beacon/socket.go
+++ b/internal/beacon/socket.go
@@ -51,6 +51,7 @@
 				s.log.Warn("ignoring a datagram that is not a valid beacon", "From", from.String(), "Error", err.Error())
 				continue
 			}
+			m.From = from.String()
 			receive(&m)
 		}
 	})
--- a/internal/entry/beacons.go
+++ b/internal/entry/beacons.go
@@ -65,6 +65,7 @@
 		now := time.Now()
 		d.lastTick.Store(now.UnixNano())
 		d.failSilentHosts(now)
+		d.tickAllotments(now)
 		isFull := d.isFullBeaconDue(now, isUrgent, &lastFull)
 		d.sendBeacons(now, isFull, isUrgent)
 	}
@@ -218,6 +219,9 @@
 	now := time.Now()
 	d.controlBytes.Add(receivedBeaconBytes)
 	d.lastPeerContact.Store(now.UnixNano())
+	if d.receiveAllotments(m) {
+		return
+	}
 	d.mu.Lock()
 	sender, found := d.members.Lookup(now, m.Sender)
 	if !found || sender.Incarnation != m.Incarnation {
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -148,6 +148,8 @@
 	endRequestsOnce sync.Once
 	// draining says that Leave was called.
 	draining atomic.Bool
+	// allotments keep organisations within their allotments.
+	allotments *allotments
 	// sharing holds the parts that exchange short facts with other hosts.
 	sharing sharing
 	// lastRequestID is the last ID that a request got in a pool.
@@ -178,6 +180,7 @@
 		urgent:               make(chan struct{}, 1),
 		topicsRead:           make(chan struct{}),
 		requestsEnded:        make(chan struct{}),
+		allotments:           newAllotments(incarnation),
 		platform:             plat.NewClient(settings.PlatformAddress, control),
 		peers:                peer.NewPool(control),
 		reader:               ledger.New(validateDocument),
@@ -208,6 +211,7 @@
 	// Without a store or without seeds, the membership table counts as settled from the start.
 	d.joinPhase = member.NewJoinPhase(now, adapter.Store == nil || len(d.seeds()) == 0)
 	if adapter.Store != nil {
+		d.addAllotmentMetrics()
 		d.addTopicGauges()
 	}
 	d.keys = settle.New(settings.Name, incarnation, settle.Limits{
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -46,7 +46,7 @@
 func (d *Daemon) serveRouted(ctx context.Context, request *route.Request, w http.ResponseWriter) error {
 	s, err := d.lookupService(request)
 	if err == nil {
-		err = s.serveRequest(ctx, request, w)
+		err = s.serveAdmitted(ctx, request, w)
 	}
 	if err == nil || errors.Is(err, route.ErrTruncated) {
 		return err
--- a/pkg/allot/holder.go
+++ b/pkg/allot/holder.go
@@ -31,6 +31,11 @@
 	dryPause = 150 * time.Millisecond
 	// demandMemory is the time over which the demand is averaged.
 	demandMemory = time.Second
+	// maxReturnAge is the age up to which a token may be returned. Older ones would add to the
+	// requests of a later window.
+	maxReturnAge = 250 * time.Millisecond
+	// maxHeld is the largest number of tokens for one organisation. Messages carry no more.
+	maxHeld = math.MaxUint16
 	// forgetAfter is the time without requests after which an organisation is forgotten.
 	forgetAfter = 3 * Window
 	// maxDemands is the largest number of organisations in a question.
@@ -91,6 +96,8 @@
 	isUnanswered    bool
 	// resendAfter is the time after which the last question counts as lost.
 	resendAfter time.Duration
+	// reserved is the number of requests that were admitted without a token.
+	reserved uint64
 	// draw returns random numbers from 0 to 1.
 	draw func() float64
 }
@@ -133,6 +140,7 @@
 	case p.take(now):
 		return Admitted
 	case (p.demand <= lowDemand || h.IsSilent(now)) && p.reserve.take(now, size, h.draw):
+		h.reserved++
 		return Admitted
 	case h.IsSilent(now) || now < p.dryUntil:
 		return Refused
@@ -157,6 +165,7 @@
 	case h.IsSilent(now) || isLast:
 		verdict = Refused
 		if p.reserve.take(now, spread.reserve(p.terms), h.draw) {
+			h.reserved++
 			verdict = Admitted
 		}
 	}
@@ -173,10 +182,10 @@
 	}
 }
 
-// Return gives back the token of a request that has not run.
-func (h *Holder) Return(now time.Duration, key uint32) {
+// Return gives back the token of a request that was admitted at a time and has not run.
+func (h *Holder) Return(now, admitted time.Duration, key uint32) {
 	p := h.purses[key]
-	if p == nil || p.held(now) == 0 {
+	if p == nil || p.held(now) == 0 || now-admitted > maxReturnAge {
 		// The token may have expired.
 		return
 	}
@@ -229,8 +238,9 @@
 			continue
 		}
 		held := p.held(now)
-		p.askedFor = max(p.waiting-held, 0)
-		d := Demand{Key: key, Held: held, Waiting: p.askedFor, Ahead: max(int(p.demandNow(now)*horizon.Seconds())-held, 0)}
+		p.askedFor = min(max(p.waiting-held, 0), maxHeld)
+		target := min(int(p.demandNow(now)*horizon.Seconds()), maxHeld)
+		d := Demand{Key: key, Held: held, Waiting: p.askedFor, Ahead: max(target-held, 0)}
 		isUrgent = isUrgent || d.Waiting > 0
 		isNeeded = isNeeded || d.Waiting > 0 || d.Ahead > held
 		if d.Waiting > 0 || d.Ahead > held {
@@ -277,6 +287,11 @@
 	return true
 }
 
+// Reserved returns the number of requests that were admitted without a token.
+func (h *Holder) Reserved() uint64 {
+	return h.reserved
+}
+
 // Held returns the number of tokens for all organisations.
 func (h *Holder) Held(now time.Duration) int {
 	total := 0
--- a/pkg/allot/model_test.go
+++ b/pkg/allot/model_test.go
@@ -237,7 +237,7 @@
 // admit runs a request, or returns its token for one in fifty.
 func (f *fleet) admit(h *host, o *org) {
 	if f.rng.IntN(50) == 0 {
-		h.holder.Return(f.now, o.key)
+		h.holder.Return(f.now, f.now, o.key)
 		o.owed -= f.counted()
 		return
 	}
--- a/pkg/allot/owner.go
+++ b/pkg/allot/owner.go
@@ -156,5 +156,9 @@
 
 func (a *account) setOutstanding(now time.Duration, host string, tokens int) {
 	a.total += tokens - a.outstanding[host].tokens
+	if tokens == 0 {
+		delete(a.outstanding, host)
+		return
+	}
 	a.outstanding[host] = batch{tokens: tokens, until: now + tokenLife}
 }
--- a/pkg/orgs/registry.go
+++ b/pkg/orgs/registry.go
@@ -58,6 +58,8 @@
 	holders map[uint64][]holder
 	// longest is the length of the longest key.
 	longest int
+	// organisations are in the order of the configuration.
+	organisations []*Organisation
 }
 
 // NewRegistry returns a registry. The error is a SharedKeyError if two organisations hold the
@@ -76,6 +78,7 @@
 		names[organisation.Name] = true
 		// The registry keeps no reference to the list, whose keys it must not hold.
 		own := *organisation
+		r.organisations = append(r.organisations, &own)
 		for j, key := range listed[i].Keys {
 			if !isKey(key) {
 				continue
@@ -106,6 +109,15 @@
 	return nil
 }
 
+// Organisations returns all organisations, in the order of the configuration. A nil registry
+// has none.
+func (r *Registry) Organisations() []*Organisation {
+	if r == nil {
+		return nil
+	}
+	return r.organisations
+}
+
 // Assign returns the organisation that holds the only one of the keys that a request
 // carries, and the digest of that key. Otherwise the organisation is nil, and the reason is
 // one of the Reason constants. The time it takes doesn't depend on how much of a key is right.
