--- a/internal/entry/allotments.go
+++ b/internal/entry/allotments.go
@@ -22,11 +22,11 @@
 )
 
 const (
-	// allotmentDemand and allotmentTokens are the kinds of the facts in questions to the owner
+	// allotmentDemand and allotmentAnswer are the kinds of the facts in questions to the owner
 	// of the allotments and in its answers. The value of the first fact is the number of the
 	// question, and the subjects of the others are organisations.
 	allotmentDemand = "AllotmentDemand"
-	allotmentTokens = "AllotmentTokens"
+	allotmentAnswer = "AllotmentAnswer"
 	// countBits is the number of bits of each count in the value of a fact.
 	countBits = 16
 	countMask = 1<<countBits - 1
@@ -269,7 +269,7 @@
 		case allotmentDemand:
 			isHandled = true
 			d.answerDemand(m, facts)
-		case allotmentTokens:
+		case allotmentAnswer:
 			isHandled = true
 			answer := allot.Answer{Number: facts[0].Value}
 			for _, f := range facts[1:] {
@@ -306,7 +306,7 @@
 		}
 		reply = append(reply, beacon.SharedFact{Subject: given.Key, Value: value})
 	}
-	d.sendAllotmentFacts(m.From, allotmentTokens, reply)
+	d.sendAllotmentFacts(m.From, allotmentAnswer, reply)
 }
 
 // tickAllotments updates the view of the owner and asks for tokens. The beacon loop calls it.
--- a/pkg/allot/model_test.go
+++ b/pkg/allot/model_test.go
@@ -317,8 +317,9 @@
 	return worst
 }
 
-func (f *fleet) cycle(period time.Duration) time.Duration {
-	return (f.now - modelWarmup) % period
+// cycle returns the number of ms since a disturbance that recurs with a period has begun.
+func (f *fleet) cycle(period time.Duration) int64 {
+	return ((f.now - modelWarmup) % period).Milliseconds()
 }
 
 func undisturbed(*fleet) {}
@@ -334,7 +335,7 @@
 		switch f.cycle(9 * time.Second) {
 		case 0:
 			h.status.isUp = false
-		case 500*time.Millisecond + time.Duration(i%40)*modelStep:
+		case 500 + int64(i%40)*modelStep.Milliseconds():
 			f.start(h)
 		}
 	}
@@ -349,7 +350,7 @@
 	switch f.cycle(4 * time.Second) {
 	case 0:
 		h.status.isUp = false
-	case time.Second:
+	case 1000:
 		f.start(h)
 	}
 }
@@ -360,7 +361,7 @@
 		switch f.cycle(12 * time.Second) {
 		case 0:
 			h.status.part = i % 3
-		case 7 * time.Second:
+		case 7000:
 			h.status.part = 0
 		}
 	}
@@ -473,11 +474,9 @@
 	usual := o.terms
 	lower := allot.Terms{PerSecond: usual.PerSecond / 10, Burst: usual.Burst / 10}
 	f.run(func(f *fleet) {
-		switch f.now {
-		case lowerAt:
+		o.terms = usual
+		if f.now >= lowerAt && f.now < higherAt {
 			o.terms = lower
-		case higherAt:
-			o.terms = usual
 		}
 	})
 	between := func(from, to time.Duration) []time.Duration {
