allot: late requests get no scarce tokens; the reserve also helps soon after a start

Callers that were refused came back too late for their objective and took tokens from others; after all hosts had lost power, the reserve was divided among too many hosts and the buckets were still empty.

--- a/internal/entry/allotments.go
+++ b/internal/entry/allotments.go
@@ -35,9 +35,8 @@
 	// allotmentAskPeriod is the least time between two checks whether tokens run short while
 	// no request waits.
 	allotmentAskPeriod = 20 * time.Millisecond
-	// joiningSpread is the least number of steered hosts that a host assumes before its
-	// membership table has settled.
-	joiningSpread = 12
+	// unknownSpread is the number of hosts that a host assumes until the beacon loop runs.
+	unknownSpread = 16
 	// knownSteeredPeriod is the time between two calculations of the hosts that would be
 	// steered if all known hosts were alive.
 	knownSteeredPeriod = 500 * time.Millisecond
@@ -74,8 +73,8 @@
 func newAllotments(incarnation uint64) *allotments {
 	// Numbers of questions start in order of the incarnations of a host.
 	return &allotments{
-		holder: allot.NewHolder(incarnation/uint64(time.Millisecond), rand.Float64), owner: allot.NewOwner(),
-		spread:   allot.Spread{Steered: joiningSpread, IsSteered: true},
+		holder: allot.NewHolder(bootTime(), incarnation/uint64(time.Millisecond), rand.Float64), owner: allot.NewOwner(),
+		spread:   allot.Spread{Steered: unknownSpread, Known: unknownSpread, IsSteered: true},
 		answered: make(chan struct{}), loggedAt: make(map[string]time.Duration),
 	}
 }
@@ -119,15 +118,16 @@
 
 // admit decides whether a request is within the allotment of its organisation. It returns
 // when the request was admitted.
-func (d *Daemon) admit(ctx context.Context, request *route.Request) (time.Duration, error) {
+func (s *service) admit(ctx context.Context, request *route.Request) (time.Duration, error) {
 	if !request.Organisation.HasAllotment() {
 		return 0, nil
 	}
-	a := d.allotments
+	d, a := s.daemon, s.daemon.allotments
 	key := organisationKey(request.Organisation.Name)
+	isLate := s.isLate(request)
 	started := bootTime()
 	a.mu.Lock()
-	verdict := a.holder.Take(started, key, termsOf(request.Organisation), a.spread)
+	verdict := a.holder.Take(started, key, termsOf(request.Organisation), a.spread, isLate)
 	d.askForTokens(started, verdict == allot.Waiting)
 	if verdict == allot.Waiting && a.ownerName == d.settings.Name {
 		verdict = a.holder.Resume(started, key, a.spread, false)
@@ -162,9 +162,17 @@
 	return bootTime(), nil
 }
 
+// isLate reports whether an answer can't be within the latency objective any more, because
+// the caller has been refused before.
+func (s *service) isLate(request *route.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.pool.CanMeetObjective(request.Terms.Class, request.Patience, request.Terms.Objective)
+}
+
 // serveAdmitted serves a request if it is within the allotment of its organisation.
 func (s *service) serveAdmitted(ctx context.Context, request *route.Request, w http.ResponseWriter) error {
-	admitted, err := s.daemon.admit(ctx, request)
+	admitted, err := s.admit(ctx, request)
 	if err != nil {
 		return err
 	}
@@ -403,11 +411,22 @@
 		spread.Steered = max(spread.Steered, spread.Known)
 	}
 	if !d.joinPhase.IsOver() {
-		spread.Steered, spread.IsSteered = max(spread.Steered, joiningSpread), true
+		spread.Steered = max(spread.Steered, d.neededHosts())
 	}
 	return spread, float64(alive) / float64(max(len(a.knownSteered), 1))
 }
 
+// neededHosts estimates the number of steered hosts while most hosts are still unknown: as many
+// as have the slots of all targets if their capacity is that of this host; d.mu is held.
+func (d *Daemon) neededHosts() int {
+	slots := 0
+	for i := range d.listedHosts {
+		slots += d.listedHosts[i].Slots
+	}
+	capacity := max(d.settings.Capacity(), 1)
+	return max((slots+capacity-1)/capacity, d.settings.SteeredHosts)
+}
+
 // selectKnownSteered returns the names of the hosts that would be steered if all known hosts
 // were alive; d.mu is held.
 func (d *Daemon) selectKnownSteered(now time.Time) []string {
--- a/pkg/allot/holder.go
+++ b/pkg/allot/holder.go
@@ -29,6 +29,8 @@
 	// dryPause is the time for which requests without a token are refused at once after the
 	// owner has had too few.
 	dryPause = 150 * time.Millisecond
+	// scarcePause is the time for which late requests are refused then.
+	scarcePause = time.Second
 	// demandMemory is the time over which the demand is averaged.
 	demandMemory = time.Second
 	// maxReturnAge is the age up to which a token may be returned. Older ones would add to the
@@ -87,7 +89,8 @@
 
 // Holder is the part of one host: it takes a token for each request.
 type Holder struct {
-	purses map[uint32]*purse
+	startedAt time.Duration
+	purses    map[uint32]*purse
 	// number is that of the last question, and askedAt its time.
 	number  uint64
 	askedAt time.Duration
@@ -103,8 +106,8 @@
 }
 
 // NewHolder returns a holder without tokens, whose first question has the number after first.
-func NewHolder(first uint64, draw func() float64) *Holder {
-	return &Holder{purses: make(map[uint32]*purse), number: first, askedAt: -time.Hour, draw: draw}
+func NewHolder(now time.Duration, first uint64, draw func() float64) *Holder {
+	return &Holder{startedAt: now, purses: make(map[uint32]*purse), number: first, askedAt: -time.Hour, draw: draw}
 }
 
 // purse is what a host has for one organisation.
@@ -119,7 +122,9 @@
 	demandAt time.Duration
 	// dryUntil is the end of the time in which requests are refused at once.
 	dryUntil time.Duration
-	reserve  reserve
+	// scarceUntil is the end of the time in which late requests are refused.
+	scarceUntil time.Duration
+	reserve     reserve
 }
 
 type batch struct {
@@ -127,8 +132,9 @@
 	until  time.Duration
 }
 
-// Take decides on a request. If it has to wait, Resume must be called for it later.
-func (h *Holder) Take(now time.Duration, key uint32, terms Terms, spread Spread) Verdict {
+// Take decides on a request. If it has to wait, Resume must be called for it later. A late
+// request, whose answer is worth less, gets no token while these are scarce.
+func (h *Holder) Take(now time.Duration, key uint32, terms Terms, spread Spread, isLate bool) Verdict {
 	p := h.purse(now, key, terms)
 	p.demand = p.demandNow(now) + 1/demandMemory.Seconds()
 	p.demandAt = now
@@ -137,13 +143,15 @@
 		size *= ordinaryPart
 	}
 	switch {
+	case isLate && now < p.scarceUntil:
+		return Refused
 	case p.take(now):
 		return Admitted
 	case (p.demand <= lowDemand || h.IsSilent(now)) && p.reserve.take(now, size, h.draw):
 		h.reserved++
 		return Admitted
 	case h.IsSilent(now) || now < p.dryUntil:
-		return Refused
+		return h.refuse(now, p, spread)
 	default:
 		p.waiting++
 		return Waiting
@@ -160,14 +168,8 @@
 	switch {
 	case p.take(now):
 		verdict = Admitted
-	case now < p.dryUntil:
-		verdict = Refused
-	case h.IsSilent(now) || isLast:
-		verdict = Refused
-		if p.reserve.take(now, spread.reserve(p.terms), h.draw) {
-			h.reserved++
-			verdict = Admitted
-		}
+	case now < p.dryUntil || h.IsSilent(now) || isLast:
+		verdict = h.refuse(now, p, spread)
 	}
 	if verdict != Waiting {
 		p.waiting--
@@ -175,6 +177,18 @@
 	return verdict
 }
 
+// refuse admits a request without a token if the reserve may be used, and refuses it otherwise.
+// While the owner answers, that is so only soon after the start of the host: the buckets may
+// still be empty then, and what callers could not send before comes in addition.
+func (h *Holder) refuse(now time.Duration, p *purse, spread Spread) Verdict {
+	isDry := now < p.dryUntil && now-h.startedAt > Window
+	if isDry || !p.reserve.take(now, spread.reserve(p.terms), h.draw) {
+		return Refused
+	}
+	h.reserved++
+	return Admitted
+}
+
 // Abandon forgets a request that waits.
 func (h *Holder) Abandon(key uint32) {
 	if p := h.purses[key]; p != nil {
@@ -281,7 +295,7 @@
 			p.batches = append(p.batches, batch{tokens: tokens, until: until})
 		}
 		if given.IsScarce || given.Tokens < p.askedFor {
-			p.dryUntil = now + dryPause
+			p.dryUntil, p.scarceUntil = now+dryPause, now+scarcePause
 		}
 	}
 	return true
--- a/pkg/allot/model_test.go
+++ b/pkg/allot/model_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"gitlab.com/curranttiller/curranttiller/pkg/allot"
 )
 
@@ -111,7 +113,7 @@
 }
 
 func (f *fleet) start(h *host) {
-	h.holder = allot.NewHolder(uint64(f.now/time.Millisecond), f.rng.Float64)
+	h.holder = allot.NewHolder(f.now, uint64(f.now/time.Millisecond), f.rng.Float64)
 	h.owner = allot.NewOwner()
 	h.status.isUp = true
 	h.startedAt = f.now
@@ -215,7 +217,7 @@
 		o.bucket--
 		o.owed += f.counted()
 	}
-	switch h.holder.Take(f.now, o.key, o.terms, h.spread) {
+	switch h.holder.Take(f.now, o.key, o.terms, h.spread, false) {
 	case allot.Admitted:
 		f.admit(h, o)
 	case allot.Refused:
@@ -503,3 +505,44 @@
 		t.Errorf("only %.0f requests in %v", worst, allot.Window)
 	}
 }
+
+// TestLateRequestsGetNoScarceTokens checks that callers that return late take no tokens from
+// others while too many requests arrive, and that they are served otherwise.
+func TestLateRequestsGetNoScarceTokens(t *testing.T) {
+	is := is.New(t)
+	terms := allot.Terms{PerSecond: 100}
+	spread := allot.Spread{Steered: 1, Known: 1, IsSteered: true}
+	termsOf := func(uint32) (allot.Terms, bool) { return terms, true }
+	owner, holder := allot.NewOwner(), allot.NewHolder(-time.Hour, 1, func() float64 { return 1 })
+	served := map[bool]int{}
+	send := func(now time.Duration, isLate bool) {
+		verdict := holder.Take(now, 1, terms, spread, isLate)
+		if ask, isDue := holder.Ask(now); isDue {
+			if answer, isOwner := owner.Answer(now, "entry1", ask, termsOf); isOwner {
+				holder.Receive(now, answer)
+			}
+		}
+		if verdict == allot.Waiting {
+			verdict = holder.Resume(now, 1, spread, true)
+		}
+		if verdict == allot.Admitted {
+			served[isLate]++
+		}
+	}
+	for now := time.Duration(0); now < 10*time.Second; now += 10 * time.Millisecond {
+		owner.Tick(now, true, 1, true)
+		if now < time.Second {
+			continue
+		}
+		for i := range 6 {
+			send(now, i%2 == 0)
+		}
+	}
+	is.True(served[false] > 850)
+	is.True(served[true] < 50)
+	for now := 12 * time.Second; now < 14*time.Second; now += 20 * time.Millisecond {
+		owner.Tick(now, true, 1, true)
+		send(now, true)
+	}
+	is.True(served[true] >= 95)
+}
--- a/pkg/allot/owner.go
+++ b/pkg/allot/owner.go
@@ -124,7 +124,7 @@
 // owner, they exceed the inflow by what is left of the bound.
 func (o *Owner) share(t Terms) float64 {
 	rest := (1 - bucketPart - reservePart) * t.beyondInflow()
-	return min(o.reach*(1+rest/(t.PerSecond*Window.Seconds())), 1)
+	return min(o.reach*(1+rest/(t.inflow()*Window.Seconds())), 1)
 }
 
 // takeoverWait is the shorter the larger the burst is that another owner may use meanwhile.
@@ -144,7 +144,7 @@
 		}
 	}
 	if now > a.filledAt {
-		a.level += (now - a.filledAt).Seconds() * a.terms.PerSecond * share
+		a.level += (now - a.filledAt).Seconds() * a.terms.inflow() * share
 		a.filledAt = now
 	}
 	a.capacity = bucketPart * a.terms.beyondInflow() * share
--- a/pkg/allot/terms.go
+++ b/pkg/allot/terms.go
@@ -11,6 +11,8 @@
 	// window: by a part of it and a number of requests.
 	overshoot = 0.1
 	slack     = 20
+	// inflowFactor makes up for tokens that are lost on the way or not used.
+	inflowFactor = 1.02
 	// bucketPart and reservePart are the parts of what may be taken in a window beyond the
 	// inflow that belong to the owner's bucket and to the reserves of all hosts. The rest is
 	// for the time in which two hosts regard themselves as the owner.
@@ -32,9 +34,14 @@
 	return (t.PerSecond*Window.Seconds()+t.Burst)*(1+overshoot) + slack
 }
 
+// inflow is the number of tokens a second that a bucket gets.
+func (t Terms) inflow() float64 {
+	return inflowFactor * t.PerSecond
+}
+
 // beyondInflow is what may be taken in a window beyond the inflow of the bucket.
 func (t Terms) beyondInflow() float64 {
-	return t.MostInWindow() - t.PerSecond*Window.Seconds()
+	return t.MostInWindow() - t.inflow()*Window.Seconds()
 }
 
 // isLowerThan reports whether any part of the allotment is lower than that of another.
--- a/pkg/choose/speed.go
+++ b/pkg/choose/speed.go
@@ -62,6 +62,12 @@
 	return spent
 }
 
+// CanMeetObjective reports whether an answer to a request that arrives now can be within its
+// objective, which counts from the caller's first try. It does not change the pool.
+func (p *Pool) CanMeetObjective(class string, patience, objective time.Duration) bool {
+	return patience == 0 || objective == 0 || p.longestPatience[class]-patience < objective
+}
+
 // candidate is a target with the forecast of one more request. It may be compared for
 // several requests of one dispatch.
 type candidate struct {
