allot: bound holds without a burst too when a divided fleet is whole again

It waits 1.5 s now, less with a burst. Hosts forget old unanswered questions, and a single request is no reason to ask ahead.

--- a/pkg/allot/holder.go
+++ b/pkg/allot/holder.go
@@ -20,15 +20,18 @@
 	resendAfter    = 40 * time.Millisecond
 	maxResendAfter = 160 * time.Millisecond
 	silentAfter    = 130 * time.Millisecond
+	// staleAfter is the time after a question from which it no longer matters that it was not
+	// answered.
+	staleAfter = 500 * time.Millisecond
 	// lowDemand is the demand up to which a part of the reserve, ordinaryPart, is used before the
 	// owner is asked, which saves messages.
 	lowDemand    = 2
 	ordinaryPart = 0.6
 	// askPeriod is the least time between two questions for which no request waits.
 	askPeriod = 100 * time.Millisecond
-	// dryPause is the time for which requests without a token are refused at once after the
-	// owner has had too few.
-	dryPause = 150 * time.Millisecond
+	// maxDryPause is the longest time for which requests without a token are refused at once
+	// after the owner has had too few.
+	maxDryPause = 150 * time.Millisecond
 	// scarcePause is the time for which late requests are refused then.
 	scarcePause = time.Second
 	// demandMemory is the time over which the demand is averaged.
@@ -94,7 +97,9 @@
 	// number is that of the last question, and askedAt its time.
 	number  uint64
 	askedAt time.Duration
-	// unansweredSince is the time of the first question since the last answer.
+	// hasNoOwner says that there is no owner to ask.
+	hasNoOwner bool
+	// unansweredSince is the time of the first of the questions that are not answered.
 	unansweredSince time.Duration
 	isUnanswered    bool
 	// resendAfter is the time after which the last question counts as lost.
@@ -196,6 +201,13 @@
 	}
 }
 
+// dryPause returns the time for which the owner need not be asked again after it has had too
+// few tokens. Its bucket must not overflow meanwhile.
+func dryPause(t Terms) time.Duration {
+	fillTime := time.Duration(t.capacity() / t.inflow() * float64(time.Second))
+	return min(fillTime/2, maxDryPause)
+}
+
 // Return gives back the token of a request that was admitted at a time and has not run.
 func (h *Holder) Return(now, admitted time.Duration, key uint32) {
 	p := h.purses[key]
@@ -208,18 +220,17 @@
 
 // IsSilent reports whether the owner has not answered for some time.
 func (h *Holder) IsSilent(now time.Duration) bool {
-	return h.isUnanswered && now-h.unansweredSince > silentAfter
+	return h.hasNoOwner || (h.isUnanswered && now-h.unansweredSince > silentAfter && now-h.askedAt <= staleAfter)
 }
 
 // NoOwner notes that there is no owner to ask.
 func (h *Holder) NoOwner() {
-	if !h.isUnanswered {
-		h.isUnanswered, h.unansweredSince = true, -time.Hour
-	}
+	h.hasNoOwner = true
 }
 
 // Ask returns the next question if one is due.
 func (h *Holder) Ask(now time.Duration) (Ask, bool) {
+	h.hasNoOwner = false
 	sinceAsked := now - h.askedAt
 	if h.isUnanswered && sinceAsked < h.resendAfter {
 		return Ask{}, false
@@ -230,7 +241,7 @@
 	}
 	h.number++
 	h.askedAt = now
-	if h.isUnanswered && h.unansweredSince >= 0 {
+	if h.isUnanswered && sinceAsked <= staleAfter {
 		h.resendAfter = min(2*h.resendAfter, maxResendAfter)
 	} else {
 		h.isUnanswered, h.unansweredSince, h.resendAfter = true, now, resendAfter
@@ -253,7 +264,8 @@
 		}
 		held := p.held(now)
 		p.askedFor = min(max(p.waiting-held, 0), maxHeld)
-		target := min(int(p.demandNow(now)*horizon.Seconds()), maxHeld)
+		// A single request is no reason to expect more.
+		target := min(int(max(p.demandNow(now)*horizon.Seconds()-1, 0)), maxHeld)
 		d := Demand{Key: key, Held: held, Waiting: p.askedFor, Ahead: max(target-held, 0)}
 		isUrgent = isUrgent || d.Waiting > 0
 		isNeeded = isNeeded || d.Waiting > 0 || d.Ahead > held
@@ -295,7 +307,7 @@
 			p.batches = append(p.batches, batch{tokens: tokens, until: until})
 		}
 		if given.IsScarce || given.Tokens < p.askedFor {
-			p.dryUntil, p.scarceUntil = now+dryPause, now+scarcePause
+			p.dryUntil, p.scarceUntil = now+dryPause(p.terms), now+scarcePause
 		}
 	}
 	return true
--- a/pkg/allot/owner.go
+++ b/pkg/allot/owner.go
@@ -9,10 +9,12 @@
 	firstPause = 200 * time.Millisecond
 	// takeoverPause is the time without inflow if the allotment has no burst, and resumePause
 	// that after a pause of the owner. Meanwhile another host may be the owner.
-	takeoverPause = 1000 * time.Millisecond
+	takeoverPause = 1500 * time.Millisecond
 	resumePause   = 700 * time.Millisecond
 	// pausedAfter is the time without a call of Tick after which the owner counts as paused.
 	pausedAfter = 800 * time.Millisecond
+	// reachPause is the time after which the owner gives more when more hosts are alive.
+	reachPause = 1500 * time.Millisecond
 	// aheadPart is the part of a bucket that hosts may have for later requests.
 	aheadPart = 0.5
 	// minWholeShare is the share from which an owner has at least one token.
@@ -31,9 +33,11 @@
 	since    time.Duration
 	tickedAt time.Duration
 	isAlone  bool
-	// reach is the part of the known hosts that are alive.
-	reach    float64
-	accounts map[uint32]*account
+	// reach is the part of the known hosts that are alive. If it has become larger, lasting is
+	// raised to it at risesAt, which is zero otherwise.
+	reach, lasting float64
+	risesAt        time.Duration
+	accounts       map[uint32]*account
 	// numbers are those of the last question of each host.
 	numbers map[string]uint64
 }
@@ -69,7 +73,21 @@
 		}
 	}
 	o.isOwner, o.tickedAt, o.isAlone = isOwner, now, isAlone
-	o.reach = min(max(reach, 0), 1)
+	o.updateReach(now, min(max(reach, 0), 1))
+}
+
+// updateReach lowers the lasting reach at once and raises it after a while. When a divided
+// fleet is whole again, the owners of its other parts have given up by then.
+func (o *Owner) updateReach(now time.Duration, reach float64) {
+	o.reach = reach
+	switch {
+	case reach <= o.lasting || now <= o.since:
+		o.lasting, o.risesAt = reach, 0
+	case o.risesAt == 0:
+		o.risesAt = now + reachPause
+	case now >= o.risesAt:
+		o.lasting, o.risesAt = reach, 0
+	}
 }
 
 // IsOwner reports whether the host was the owner at the last Tick.
@@ -121,15 +139,17 @@
 }
 
 // share is the part of the inflow of this owner. If all parts of a divided fleet have such an
-// owner, they exceed the inflow by what is left of the bound.
+// owner, they exceed the inflow by what is left of the bound. The larger the burst, the sooner
+// a larger reach counts, because other owners may use the burst meanwhile.
 func (o *Owner) share(t Terms) float64 {
 	rest := (1 - bucketPart - reservePart) * t.beyondInflow()
-	return min(o.reach*(1+rest/(t.inflow()*Window.Seconds())), 1)
+	reach := o.lasting + (o.reach-o.lasting)*t.burstSeconds()
+	return min(reach*(1+rest/(t.inflow()*Window.Seconds())), 1)
 }
 
 // takeoverWait is the shorter the larger the burst is that another owner may use meanwhile.
 func takeoverWait(t Terms) time.Duration {
-	return time.Duration((1 - min(t.Burst/t.PerSecond, 1)) * float64(takeoverPause))
+	return time.Duration((1 - t.burstSeconds()) * float64(takeoverPause))
 }
 
 // fill adds the inflow since the last call. Tokens that hosts have count as in the bucket.
@@ -147,7 +167,7 @@
 		a.level += (now - a.filledAt).Seconds() * a.terms.inflow() * share
 		a.filledAt = now
 	}
-	a.capacity = bucketPart * a.terms.beyondInflow() * share
+	a.capacity = a.terms.capacity() * share
 	if share >= minWholeShare {
 		a.capacity = max(a.capacity, 1)
 	}
--- a/pkg/allot/terms.go
+++ b/pkg/allot/terms.go
@@ -44,6 +44,16 @@
 	return t.MostInWindow() - t.inflow()*Window.Seconds()
 }
 
+// capacity is the number of tokens that the bucket holds.
+func (t Terms) capacity() float64 {
+	return bucketPart * t.beyondInflow()
+}
+
+// burstSeconds is the time for which the burst lasts beyond the inflow, at most one second.
+func (t Terms) burstSeconds() float64 {
+	return min(t.Burst/t.PerSecond, 1)
+}
+
 // isLowerThan reports whether any part of the allotment is lower than that of another.
 func (t Terms) isLowerThan(other Terms) bool {
 	return t.PerSecond < other.PerSecond || t.Burst < other.Burst
