--- a/internal/entry/allotments.go
+++ b/internal/entry/allotments.go
@@ -50,10 +50,10 @@
 // package allot with the requests and the beacons.
 type allotments struct {
 	// mu guards the fields below. It is never locked before the daemon's mutex.
-	mu     sync.Mutex
-	holder *allot.Holder
-	owner  *allot.Owner
-	spread allot.Spread
+	mu      sync.Mutex
+	spender *allot.Spender
+	owner   *allot.Owner
+	spread  allot.Spread
 	// ownerName and ownerAddress are those of the owner in this host's view; empty if there is none.
 	ownerName, ownerAddress string
 	// answered is closed when tokens have arrived, and then replaced.
@@ -73,7 +73,7 @@
 func newAllotments(incarnation uint64) *allotments {
 	// Numbers of questions start in order of the incarnations of a host.
 	return &allotments{
-		holder: allot.NewHolder(bootTime(), incarnation/uint64(time.Millisecond), rand.Float64), owner: allot.NewOwner(),
+		spender: allot.NewSpender(bootTime(), incarnation/uint64(time.Millisecond), rand.Float64), owner: allot.NewOwner(),
 		spread:   allot.Spread{Steered: unknownSpread, Known: unknownSpread, IsSteered: true},
 		answered: make(chan struct{}), loggedAt: make(map[string]time.Duration),
 	}
@@ -89,8 +89,8 @@
 		})
 	}
 	gauge("organisations", func(a *allotments) float64 { return float64(len(a.termsByKey)) })
-	gauge("tokens", func(a *allotments) float64 { return float64(a.holder.Held(bootTime())) })
-	gauge("reserved", func(a *allotments) float64 { return float64(a.holder.Reserved()) })
+	gauge("tokens", func(a *allotments) float64 { return float64(a.spender.Held(bootTime())) })
+	gauge("reserved", func(a *allotments) float64 { return float64(a.spender.Reserved()) })
 	gauge("owner", func(a *allotments) float64 {
 		if a.owner.IsOwner() {
 			return 1
@@ -127,10 +127,10 @@
 	isLate := s.isLate(request)
 	started := bootTime()
 	a.mu.Lock()
-	verdict := a.holder.Take(started, key, termsOf(request.Organisation), a.spread, isLate)
+	verdict := a.spender.Take(started, key, termsOf(request.Organisation), a.spread, isLate)
 	d.askForTokens(started, verdict == allot.Waiting)
 	if verdict == allot.Waiting && a.ownerName == d.settings.Name {
-		verdict = a.holder.Resume(started, key, a.spread, false)
+		verdict = a.spender.Resume(started, key, a.spread, false)
 	}
 	answered := a.answered
 	a.mu.Unlock()
@@ -143,13 +143,13 @@
 			timer.Reset(allotmentRetry)
 		case <-ctx.Done():
 			a.mu.Lock()
-			a.holder.Abandon(key)
+			a.spender.Abandon(key)
 			a.mu.Unlock()
 			return 0, fault.Wrap(ctx.Err(), fault.NotRun, http.StatusServiceUnavailable, "CallerGone")
 		}
 		now := bootTime()
 		a.mu.Lock()
-		verdict = a.holder.Resume(now, key, a.spread, now-started >= allot.MaxWait)
+		verdict = a.spender.Resume(now, key, a.spread, now-started >= allot.MaxWait)
 		if verdict == allot.Waiting {
 			d.askForTokens(now, true)
 		}
@@ -188,7 +188,7 @@
 	}
 	d.allotments.mu.Lock()
 	defer d.allotments.mu.Unlock()
-	d.allotments.holder.Return(bootTime(), admitted, organisationKey(request.Organisation.Name))
+	d.allotments.spender.Return(bootTime(), admitted, organisationKey(request.Organisation.Name))
 }
 
 // refuseAllotment returns the error of a request beyond the allotment. The times at which
@@ -204,7 +204,7 @@
 	if isDue {
 		a.loggedAt[o.Name] = now
 	}
-	owner, isSilent := a.ownerName, a.holder.IsSilent(now)
+	owner, isSilent := a.ownerName, a.spender.IsSilent(now)
 	a.mu.Unlock()
 	if isDue {
 		d.requestLog.Warn("allotment of an organisation is reached", slog.String("Organisation", o.Name),
@@ -219,14 +219,14 @@
 func (d *Daemon) askForTokens(now time.Duration, isUrgent bool) {
 	a := d.allotments
 	if a.ownerName == "" {
-		a.holder.NoOwner()
+		a.spender.NoOwner()
 		return
 	}
 	if !isUrgent && now-a.checked < allotmentAskPeriod {
 		return
 	}
 	a.checked = now
-	ask, isDue := a.holder.Ask(now)
+	ask, isDue := a.spender.Ask(now)
 	if !isDue {
 		return
 	}
@@ -251,7 +251,7 @@
 
 // receive applies an answer of the owner; the mutex is held.
 func (a *allotments) receive(now time.Duration, answer allot.Answer) {
-	if a.holder.Receive(now, answer) {
+	if a.spender.Receive(now, answer) {
 		close(a.answered)
 		a.answered = make(chan struct{})
 	}
@@ -281,7 +281,7 @@
 			isHandled = true
 			answer := allot.Answer{Number: facts[0].Value}
 			for _, f := range facts[1:] {
-				answer.Given = append(answer.Given, allot.Given{Key: f.Subject, Tokens: int(f.Value >> 1 & countMask), IsScarce: f.Value&1 > 0})
+				answer.Given = append(answer.Given, allot.Given{Key: f.Subject, Tokens: int(f.Value >> 1), IsScarce: f.Value&1 > 0})
 			}
 			d.allotments.mu.Lock()
 			d.allotments.receive(bootTime(), answer)
--- a/pkg/allot/bench_test.go
+++ b/pkg/allot/bench_test.go
@@ -13,17 +13,17 @@
 // BenchmarkTake measures a request at a host that has tokens.
 func BenchmarkTake(b *testing.B) {
 	terms := allot.Terms{PerSecond: 1e9, Burst: 1e9}
-	owner, holder := allot.NewOwner(), allot.NewHolder(0, 1, rand.Float64)
+	owner, spender := allot.NewOwner(), allot.NewSpender(0, 1, rand.Float64)
 	owner.Tick(0, true, 1, true)
 	spread := allot.Spread{Steered: 1, Known: 1, IsSteered: true}
 	now := time.Second
 	for b.Loop() {
 		now += time.Millisecond
-		if holder.Take(now, 1, terms, spread, false) == allot.Waiting {
-			ask, _ := holder.Ask(now)
+		if spender.Take(now, 1, terms, spread, false) == allot.Waiting {
+			ask, _ := spender.Ask(now)
 			answer, _ := owner.Answer(now, "entry1", ask, func(uint32) (allot.Terms, bool) { return terms, true })
-			holder.Receive(now, answer)
-			holder.Resume(now, 1, spread, true)
+			spender.Receive(now, answer)
+			spender.Resume(now, 1, spread, true)
 		}
 	}
 }
--- a/pkg/allot/doc.go
+++ b/pkg/allot/doc.go
@@ -1,7 +1,7 @@
 // Package allot keeps an organisation within its allotment, the number of requests that
 // all entry hosts together may take for it.
 //
-// One of the hosts, the owner, has a bucket of tokens for each organisation. A [Holder] at
+// One of the hosts, the owner, has a bucket of tokens for each organisation. A [Spender] at
 // each host asks the owner for tokens, and takes one for each request. It asks ahead for
 // what it expects to need, and holds requests back for some milliseconds until the answer
 // has arrived. An [Owner] counts tokens that it has given away as if they were still in the
--- a/pkg/allot/model_test.go
+++ b/pkg/allot/model_test.go
@@ -34,7 +34,7 @@
 	hotFactor      = 7.5
 )
 
-// fleet runs the holders and owners of all hosts. Each host has its own view of which hosts
+// fleet runs the spenders and owners of all hosts. Each host has its own view of which hosts
 // are alive, which lags behind.
 type fleet struct {
 	rng   *rand.Rand
@@ -67,7 +67,7 @@
 	startedAt   time.Duration
 	frozenUntil time.Duration
 	lag         time.Duration
-	holder      *allot.Holder
+	spender     *allot.Spender
 	owner       *allot.Owner
 	ownerIndex  int
 	spread      allot.Spread
@@ -113,7 +113,7 @@
 }
 
 func (f *fleet) start(h *host) {
-	h.holder = allot.NewHolder(f.now, uint64(f.now/time.Millisecond), f.rng.Float64)
+	h.spender = allot.NewSpender(f.now, uint64(f.now/time.Millisecond), f.rng.Float64)
 	h.owner = allot.NewOwner()
 	h.status.isUp = true
 	h.startedAt = f.now
@@ -175,10 +175,10 @@
 
 func (f *fleet) ask(h *host) {
 	if h.ownerIndex < 0 {
-		h.holder.NoOwner()
+		h.spender.NoOwner()
 		return
 	}
-	ask, isDue := h.holder.Ask(f.now)
+	ask, isDue := h.spender.Ask(f.now)
 	if !isDue {
 		return
 	}
@@ -189,13 +189,13 @@
 	}
 	if owner == h {
 		if a, isOwner := answer(); isOwner {
-			h.holder.Receive(f.now, a)
+			h.spender.Receive(f.now, a)
 		}
 		return
 	}
 	f.send(h, owner, 12*len(ask.Demands), func() {
 		if a, isOwner := answer(); isOwner {
-			f.send(owner, h, 9*len(a.Given), func() { h.holder.Receive(f.now, a) })
+			f.send(owner, h, 9*len(a.Given), func() { h.spender.Receive(f.now, a) })
 		}
 	})
 }
@@ -217,7 +217,7 @@
 		o.bucket--
 		o.owed += f.counted()
 	}
-	switch h.holder.Take(f.now, o.key, o.terms, h.spread, false) {
+	switch h.spender.Take(f.now, o.key, o.terms, h.spread, false) {
 	case allot.Admitted:
 		f.admit(h, o)
 	case allot.Refused:
@@ -239,7 +239,7 @@
 // admit runs a request, or returns its token for one in fifty.
 func (f *fleet) admit(h *host, o *org) {
 	if f.rng.IntN(50) == 0 {
-		h.holder.Return(f.now, f.now, o.key)
+		h.spender.Return(f.now, f.now, o.key)
 		o.owed -= f.counted()
 		return
 	}
@@ -248,7 +248,7 @@
 
 func (f *fleet) resume(h *host) {
 	h.waiting = slices.DeleteFunc(h.waiting, func(w waiting) bool {
-		switch h.holder.Resume(f.now, w.org.key, h.spread, f.now-w.since >= allot.MaxWait) {
+		switch h.spender.Resume(f.now, w.org.key, h.spread, f.now-w.since >= allot.MaxWait) {
 		case allot.Admitted:
 			f.admit(h, w.org)
 		case allot.Refused:
@@ -519,17 +519,17 @@
 	terms := allot.Terms{PerSecond: 100}
 	spread := allot.Spread{Steered: 1, Known: 1, IsSteered: true}
 	termsOf := func(uint32) (allot.Terms, bool) { return terms, true }
-	owner, holder := allot.NewOwner(), allot.NewHolder(-time.Hour, 1, func() float64 { return 1 })
+	owner, spender := allot.NewOwner(), allot.NewSpender(-time.Hour, 1, func() float64 { return 1 })
 	served := map[bool]int{}
 	send := func(now time.Duration, isLate bool) {
-		verdict := holder.Take(now, 1, terms, spread, isLate)
-		if ask, isDue := holder.Ask(now); isDue {
+		verdict := spender.Take(now, 1, terms, spread, isLate)
+		if ask, isDue := spender.Ask(now); isDue {
 			if answer, isOwner := owner.Answer(now, "entry1", ask, termsOf); isOwner {
-				holder.Receive(now, answer)
+				spender.Receive(now, answer)
 			}
 		}
 		if verdict == allot.Waiting {
-			verdict = holder.Resume(now, 1, spread, true)
+			verdict = spender.Resume(now, 1, spread, true)
 		}
 		if verdict == allot.Admitted {
 			served[isLate]++
--- a/pkg/allot/holder.go
+++ b/pkg/allot/spender.go
@@ -90,8 +90,8 @@
 	Given  []Given
 }
 
-// Holder is the part of one host: it takes a token for each request.
-type Holder struct {
+// Spender is the part of one host: it takes a token for each request.
+type Spender struct {
 	startedAt time.Duration
 	purses    map[uint32]*purse
 	// number is that of the last question, and askedAt its time.
@@ -110,9 +110,9 @@
 	draw func() float64
 }
 
-// NewHolder returns a holder without tokens, whose first question has the number after first.
-func NewHolder(now time.Duration, first uint64, draw func() float64) *Holder {
-	return &Holder{startedAt: now, purses: make(map[uint32]*purse), number: first, askedAt: -time.Hour, draw: draw}
+// NewSpender returns a spender without tokens, whose first question has the number after first.
+func NewSpender(now time.Duration, first uint64, draw func() float64) *Spender {
+	return &Spender{startedAt: now, purses: make(map[uint32]*purse), number: first, askedAt: -time.Hour, draw: draw}
 }
 
 // purse is what a host has for one organisation.
@@ -137,14 +137,14 @@
 	until  time.Duration
 }
 
-// Take decides on a request. If it has to wait, Resume must be called for it later. A late
+// Take decides on a request that arrives. If it has to wait, Resume must be called for it later. A late
 // request, whose answer is worth less, gets no token while these are scarce.
-func (h *Holder) Take(now time.Duration, key uint32, terms Terms, spread Spread, isLate bool) Verdict {
-	p := h.purse(now, key, terms)
+func (s *Spender) Take(now time.Duration, key uint32, terms Terms, spread Spread, isLate bool) Verdict {
+	p := s.purse(now, key, terms)
 	p.demand = p.demandNow(now) + 1/demandMemory.Seconds()
 	p.demandAt = now
 	size := spread.reserve(terms)
-	if !h.IsSilent(now) {
+	if !s.IsSilent(now) {
 		size *= ordinaryPart
 	}
 	switch {
@@ -152,11 +152,11 @@
 		return Refused
 	case p.take(now):
 		return Admitted
-	case (p.demand <= lowDemand || h.IsSilent(now)) && p.reserve.take(now, size, h.draw):
-		h.reserved++
+	case (p.demand <= lowDemand || s.IsSilent(now)) && p.reserve.take(now, size, s.draw):
+		s.reserved++
 		return Admitted
-	case h.IsSilent(now) || now < p.dryUntil:
-		return h.refuse(now, p, spread)
+	case s.IsSilent(now) || now < p.dryUntil:
+		return s.refuse(now, p, spread)
 	default:
 		p.waiting++
 		return Waiting
@@ -164,8 +164,8 @@
 }
 
 // Resume decides again on a request that waits. With isLast it must not wait any longer.
-func (h *Holder) Resume(now time.Duration, key uint32, spread Spread, isLast bool) Verdict {
-	p := h.purses[key]
+func (s *Spender) Resume(now time.Duration, key uint32, spread Spread, isLast bool) Verdict {
+	p := s.purses[key]
 	if p == nil {
 		return Refused
 	}
@@ -173,8 +173,8 @@
 	switch {
 	case p.take(now):
 		verdict = Admitted
-	case now < p.dryUntil || h.IsSilent(now) || isLast:
-		verdict = h.refuse(now, p, spread)
+	case now < p.dryUntil || s.IsSilent(now) || isLast:
+		verdict = s.refuse(now, p, spread)
 	}
 	if verdict != Waiting {
 		p.waiting--
@@ -185,18 +185,18 @@
 // refuse admits a request without a token if the reserve may be used, and refuses it otherwise.
 // While the owner answers, that is so only soon after the start of the host: the buckets may
 // still be empty then, and what callers could not send before comes in addition.
-func (h *Holder) refuse(now time.Duration, p *purse, spread Spread) Verdict {
-	isDry := now < p.dryUntil && now-h.startedAt > Window
-	if isDry || !p.reserve.take(now, spread.reserve(p.terms), h.draw) {
+func (s *Spender) refuse(now time.Duration, p *purse, spread Spread) Verdict {
+	isDry := now < p.dryUntil && now-s.startedAt > Window
+	if isDry || !p.reserve.take(now, spread.reserve(p.terms), s.draw) {
 		return Refused
 	}
-	h.reserved++
+	s.reserved++
 	return Admitted
 }
 
 // Abandon forgets a request that waits.
-func (h *Holder) Abandon(key uint32) {
-	if p := h.purses[key]; p != nil {
+func (s *Spender) Abandon(key uint32) {
+	if p := s.purses[key]; p != nil {
 		p.waiting--
 	}
 }
@@ -209,8 +209,8 @@
 }
 
 // Return gives back the token of a request that was admitted at a time and has not run.
-func (h *Holder) Return(now, admitted time.Duration, key uint32) {
-	p := h.purses[key]
+func (s *Spender) Return(now, admitted time.Duration, key uint32) {
+	p := s.purses[key]
 	if p == nil || p.held(now) == 0 || now-admitted > maxReturnAge {
 		// The token may have expired.
 		return
@@ -219,54 +219,57 @@
 }
 
 // IsSilent reports whether the owner has not answered for some time.
-func (h *Holder) IsSilent(now time.Duration) bool {
-	return h.hasNoOwner || (h.isUnanswered && now-h.unansweredSince > silentAfter && now-h.askedAt <= staleAfter)
+func (s *Spender) IsSilent(now time.Duration) bool {
+	return s.hasNoOwner || (s.isUnanswered && now-s.unansweredSince > silentAfter && now-s.askedAt <= staleAfter)
 }
 
 // NoOwner notes that there is no owner to ask.
-func (h *Holder) NoOwner() {
-	h.hasNoOwner = true
+func (s *Spender) NoOwner() {
+	s.hasNoOwner = true
 }
 
 // Ask returns the next question if one is due.
-func (h *Holder) Ask(now time.Duration) (Ask, bool) {
-	h.hasNoOwner = false
-	sinceAsked := now - h.askedAt
-	if h.isUnanswered && sinceAsked < h.resendAfter {
+func (s *Spender) Ask(now time.Duration) (Ask, bool) {
+	s.hasNoOwner = false
+	sinceAsked := now - s.askedAt
+	if s.isUnanswered && sinceAsked < s.resendAfter {
 		return Ask{}, false
 	}
-	demands, isUrgent := h.demands(now)
+	demands, isUrgent := s.demands(now)
 	if len(demands) == 0 || (!isUrgent && sinceAsked < askPeriod) {
 		return Ask{}, false
 	}
-	h.number++
-	h.askedAt = now
-	if h.isUnanswered && sinceAsked <= staleAfter {
-		h.resendAfter = min(2*h.resendAfter, maxResendAfter)
+	s.number++
+	s.askedAt = now
+	if s.isUnanswered && sinceAsked <= staleAfter {
+		s.resendAfter = min(2*s.resendAfter, maxResendAfter)
 	} else {
-		h.isUnanswered, h.unansweredSince, h.resendAfter = true, now, resendAfter
+		s.isUnanswered, s.unansweredSince, s.resendAfter = true, now, resendAfter
 	}
-	return Ask{Number: h.number, Demands: mostUrgent(demands)}, true
+	demands = mostUrgent(demands)
+	for _, d := range demands {
+		s.purses[d.Key].askedFor = d.Waiting
+	}
+	return Ask{Number: s.number, Demands: demands}, true
 }
 
 // demands returns what the organisations need, and whether requests wait for it. It is empty
 // unless an organisation has less than half of the tokens that it should have. Then it is
 // worth asking for all that lack some.
-func (h *Holder) demands(now time.Duration) (demands []Demand, isUrgent bool) {
+func (s *Spender) demands(now time.Duration) (demands []Demand, isUrgent bool) {
 	isNeeded := false
-	for key, p := range h.purses {
+	for key, p := range s.purses {
 		if now-p.demandAt > forgetAfter && p.waiting == 0 {
-			delete(h.purses, key)
+			delete(s.purses, key)
 			continue
 		}
 		if now < p.dryUntil {
 			continue
 		}
 		held := p.held(now)
-		p.askedFor = min(max(p.waiting-held, 0), maxHeld)
 		// A single request is no reason to expect more.
 		target := min(int(max(p.demandNow(now)*horizon.Seconds()-1, 0)), maxHeld)
-		d := Demand{Key: key, Held: held, Waiting: p.askedFor, Ahead: max(target-held, 0)}
+		d := Demand{Key: key, Held: held, Waiting: min(max(p.waiting-held, 0), maxHeld), Ahead: max(target-held, 0)}
 		isUrgent = isUrgent || d.Waiting > 0
 		isNeeded = isNeeded || d.Waiting > 0 || d.Ahead > held
 		if d.Waiting > 0 || d.Ahead > held {
@@ -289,14 +292,14 @@
 }
 
 // Receive applies an answer, and reports whether it belongs to the last question.
-func (h *Holder) Receive(now time.Duration, answer Answer) bool {
-	if answer.Number != h.number || !h.isUnanswered {
+func (s *Spender) Receive(now time.Duration, answer Answer) bool {
+	if answer.Number != s.number || !s.isUnanswered {
 		return false
 	}
-	h.isUnanswered = false
-	until := h.askedAt + tokenLife
+	s.isUnanswered = false
+	until := s.askedAt + tokenLife
 	for _, given := range answer.Given {
-		p := h.purses[given.Key]
+		p := s.purses[given.Key]
 		if p == nil {
 			continue
 		}
@@ -314,24 +317,24 @@
 }
 
 // Reserved returns the number of requests that were admitted without a token.
-func (h *Holder) Reserved() uint64 {
-	return h.reserved
+func (s *Spender) Reserved() uint64 {
+	return s.reserved
 }
 
 // Held returns the number of tokens for all organisations.
-func (h *Holder) Held(now time.Duration) int {
+func (s *Spender) Held(now time.Duration) int {
 	total := 0
-	for p := range maps.Values(h.purses) {
+	for p := range maps.Values(s.purses) {
 		total += p.held(now)
 	}
 	return total
 }
 
-func (h *Holder) purse(now time.Duration, key uint32, terms Terms) *purse {
-	p := h.purses[key]
+func (s *Spender) purse(now time.Duration, key uint32, terms Terms) *purse {
+	p := s.purses[key]
 	if p == nil {
 		p = &purse{terms: terms, demandAt: now}
-		h.purses[key] = p
+		s.purses[key] = p
 	}
 	if terms.isLowerThan(p.terms) {
 		p.batches = nil
