--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -89,6 +89,8 @@
 	splitter      *table.Splitter
 	// routesReplaced is closed when other routes come into force, and then replaced.
 	routesReplaced chan struct{}
+	// evacuated are the failure domains that are evacuated, in order.
+	evacuated []string
 	// joinPhase says whether the membership table has settled, which means that it is
 	// complete enough to compute the steered hosts from it.
 	joinPhase member.JoinPhase
@@ -148,6 +150,8 @@
 	endRequestsOnce sync.Once
 	// draining says that Leave was called.
 	draining atomic.Bool
+	// allotments keep organisations within their allotments.
+	allotments *allotments
 	// sharing holds the parts that exchange short facts with other hosts.
 	sharing sharing
 	// lastRequestID is the last ID that a request got in a pool.
@@ -178,6 +182,7 @@
 		urgent:               make(chan struct{}, 1),
 		topicsRead:           make(chan struct{}),
 		requestsEnded:        make(chan struct{}),
+		allotments:           newAllotments(incarnation),
 		platform:             plat.NewClient(settings.PlatformAddress, control),
 		peers:                peer.NewPool(control),
 		reader:               ledger.New(validateDocument),
@@ -202,12 +207,13 @@
 		cancel: cancel,
 	}
 	d.counters = newCounters(d.metrics)
-	d.sharing.sharers = []sharer{&sharedLimits{}, sharedDepartures{}}
+	d.sharing.sharers = []sharer{&sharedLimits{}, sharedDepartures{}, sharedHoldOffs{}, sharedCold{}}
 	d.metrics.NewGauge("curranttiller_control_bytes", func() float64 { return float64(control.Load()) })
 	d.members = member.New(d.selfInfo(), d.timing(), incarnation)
 	// Without a store or without seeds, the membership table counts as settled from the start.
 	d.joinPhase = member.NewJoinPhase(now, adapter.Store == nil || len(d.seeds()) == 0)
 	if adapter.Store != nil {
+		d.addAllotmentMetrics()
 		d.addTopicGauges()
 	}
 	d.keys = settle.New(settings.Name, incarnation, settle.Limits{
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -6,6 +6,7 @@
 	"math"
 	"time"
 
+	"gitlab.com/curranttiller/curranttiller/internal/beacon"
 	"gitlab.com/curranttiller/curranttiller/pkg/facts"
 	"gitlab.com/curranttiller/curranttiller/pkg/steer"
 )
@@ -69,6 +70,8 @@
 	// behindSince is when another host first reported a higher offset than this
 	// host's; zero if this host is up to date.
 	behindSince time.Time
+	// reads counts the reads of the store by this host.
+	reads uint64
 	// isStoreLost says that the last call to the store for this topic failed.
 	isStoreLost bool
 }
@@ -194,7 +197,7 @@
 // host does not have it yet or the store no longer keeps all the changes.
 func (d *Daemon) readStore(f *followedTopic) error {
 	d.mu.Lock()
-	from := f.topic.Through()
+	from, era := f.topic.Through(), f.topic.Era()
 	isLoaded := f.topic.IsLoaded()
 	wait := time.Duration(0)
 	if d.readRank == 0 && isLoaded {
@@ -209,6 +212,10 @@
 	err := ErrTrimmed
 	if isLoaded {
 		delta, err = d.adapter.Store.Changes(ctx, f.name, from, wait)
+		if err == nil && delta.Era != era {
+			// The offset belongs to another era.
+			err = ErrTrimmed
+		}
 	}
 	if isTrimmed(err) {
 		d.log.Info("reading the newest records of a topic", "Topic", f.name, "Known", isLoaded, "From", from)
@@ -220,10 +227,19 @@
 	}
 	d.lastPlatformRead.Store(time.Now().UnixNano())
 	delta.Age = replyAge(time.Since(started), wait, len(delta.Facts))
+	delta.Read = d.nextRead(f)
 	d.applyDelta(f, &delta, sourceStore)
 	return nil
 }
 
+// nextRead returns the identity of a read of the store that this host has just done.
+func (d *Daemon) nextRead(f *followedTopic) facts.Read {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f.reads++
+	return facts.Read{By: beacon.TargetID(fmt.Sprint(d.settings.Name, " ", d.incarnation)), Number: f.reads}
+}
+
 // replyAge is how old a reply of the store may be when it has been read, for a call
 // that took a given time and let the store wait for records. A reply without records
 // left the store when the wait was over. A host that is slow to read it must not
@@ -266,6 +282,9 @@
 	wasLoaded := f.topic.IsLoaded()
 	// Apply lowers the age by which Observe recognises an outage.
 	f.outageRetention.Observe(now, f.topic)
+	if f.topic.EndsEra(delta.Era) && delta.IsSnapshot {
+		d.endEra(f, delta.Era, now)
+	}
 	changed := f.topic.Apply(now, delta)
 	if source == sourceStore && wasLoaded && d.isUnsteered() {
 		// No other host had confirmed the topic. A beacon spares the others their own read.
