choose: replay of a burst that overloads half of the targets

Change: the replay has targets that turn everything away for a time; one test compares one host that keeps hold-offs with one that ignores them.

--- a/pkg/choose/holdoff_test.go
+++ b/pkg/choose/holdoff_test.go
@@ -192,3 +192,29 @@
 	pool.SetTargets(testStart, []choose.Target{{Name: "t1", FailureDomain: "a", Slots: 2}})
 	is.Equal(arrive(pool, testStart, 2, nil).Grants[0].Target, "t1")
 }
+
+// TestReplayedOverloadOfHalfOfTheTargets replays a burst that overloads half of the targets
+// for six seconds: one host has fewer requests turned away, and no fewer are answered in
+// time, than if it ignores what these targets ask. With more hosts, each learns less and
+// the numbers differ little.
+func TestReplayedOverloadOfHalfOfTheTargets(t *testing.T) {
+	is := is.New(t)
+	w := fewTargets(60, 2)
+	w.hosts = 1
+	w.length = 10 * time.Second
+	w.turningAway, w.holdOff = w.targets/2, 3*time.Second
+	w.holdOffFrom, w.holdOffTo = 2*time.Second, 8*time.Second
+	var declined, inTime [2]int
+	for seed := range uint64(3) {
+		for i, ignores := range []bool{false, true} {
+			w.ignoresHoldOff = ignores
+			s := replay(w, seed)
+			total := s.total()
+			declined[i] += s.declined
+			inTime[i] += total.inTime
+			t.Logf("seed %d, ignores %v: %d declined, %d of %d in time", seed, ignores, s.declined, total.inTime, total.arrived)
+		}
+	}
+	is.True(declined[0]*2 < declined[1])
+	is.True(inTime[0]*100 >= inTime[1]*99)
+}
--- a/pkg/choose/replay_test.go
+++ b/pkg/choose/replay_test.go
@@ -55,6 +55,13 @@
 	leaving        int
 	leavingFrom    time.Duration
 	ignoresLeaving bool
+	// turningAway is the number of targets, counted from the first, that are overloaded from
+	// holdOffFrom to holdOffTo. They decline all attempts and hold the host off for holdOff.
+	// ignoresHoldOff makes the hosts ignore that.
+	turningAway            int
+	holdOff                time.Duration
+	holdOffFrom, holdOffTo time.Duration
+	ignoresHoldOff         bool
 	// disturb is called every 100 ms and may change the state of hosts and targets.
 	disturb func(s *simulation)
 	// load multiplies the arrival rates during length.
@@ -114,6 +121,8 @@
 	results  map[string]*classResult
 	nextID   uint64
 	sends    int
+	// declined counts the attempts that targets declined.
+	declined int
 }
 
 func (s *simulation) schedule(d time.Duration, do func()) {
@@ -463,6 +472,13 @@
 	h.finishAttempt(attempt, outcome)
 }
 
+// receiveHoldOff applies the time that a target has named when it turned a request away.
+func (h *simHost) receiveHoldOff(t *simTarget) {
+	if !h.sim.workload.ignoresHoldOff {
+		h.pool.ObserveHoldOff(h.sim.clock(), t.name, time.Time{}, h.sim.workload.holdOff)
+	}
+}
+
 func (h *simHost) rescue(r *simRequest) {
 	if !h.isPending(r) || r.rescued {
 		return
@@ -541,6 +557,9 @@
 	t.arrivals = append(t.arrivals, t.sim.now)
 	switch {
 	case attempt.removed:
+	case t.isTurningAway():
+		t.decline(attempt)
+		t.sim.schedule(attempt.host.networkDelay(t), func() { attempt.host.receiveHoldOff(t) })
 	case t.sim.rng.Float64() < t.sim.workload.shed:
 		t.decline(attempt)
 	case len(t.running) < t.sim.workload.slots:
@@ -552,7 +571,13 @@
 	}
 }
 
+func (t *simTarget) isTurningAway() bool {
+	w := &t.sim.workload
+	return t.index < w.turningAway && t.sim.now >= w.holdOffFrom && t.sim.now < w.holdOffTo
+}
+
 func (t *simTarget) decline(attempt *simAttempt) {
+	t.sim.declined++
 	report, named, isLeaving := t.report(), t.named(), t.isLeaving()
 	t.sim.schedule(attempt.host.networkDelay(t), func() {
 		attempt.host.receiveAnswer(attempt, choose.Outcome{Kind: choose.Declined, Report: report, Limit: named}, isLeaving)
