target, choose, entry: a status that no answer has is no answer, and failing fast is no merit

Cause: net/http accepts any three digits as a status; below 100 the writer panics, and the pool took such an answer, and a 404 of one target alone, for the fastest success. A status outside 200 to 599 is now an error that may have run, and a target that rejects what its siblings serve counts as failing.

--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -296,6 +296,9 @@
 	answer, err := client.Do(ctx, outgoing)
 	if err != nil {
 		result.err = route.AsFault(err)
+		if result.err.Reason == target.ReasonNoStatus {
+			s.metrics.noStatus.Inc()
+		}
 		result.latency = time.Since(sentAt)
 		return result
 	}
@@ -383,6 +386,8 @@
 		outcome.Kind = choose.Declined
 	case result.answer.Status >= http.StatusInternalServerError:
 		outcome.Kind = choose.Errored
+	default:
+		outcome.Rejected = result.answer.Status >= http.StatusBadRequest
 	}
 	return outcome
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -91,6 +91,8 @@
 	// leavingAnswers counts the answers in which a target said that it leaves, and
 	// unusualDepartures those that said so in an unusual way, which has no effect.
 	leavingAnswers, unusualDepartures *metrics.Counter
+	// noStatus counts the answers to requests with a status that no answer has.
+	noStatus *metrics.Counter
 	// waited is the time from the arrival of a request to the grant of the attempt that
 	// won, target the latency of that attempt, and total the time from the arrival to
 	// the end of the answer, all in seconds.
@@ -110,6 +112,7 @@
 		refusals: counter("refusals"), probes: counter("probes"),
 		limitedAnswers: counter("limited_answers"), limitedProbes: counter("limited_probes"), unusualLimits: counter("unusual_limits"),
 		leavingAnswers: counter("leaving_answers"), unusualDepartures: counter("unusual_departures"),
+		noStatus: counter("answers_without_status"),
 	}
 }
 
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -26,11 +26,17 @@
 	keepAliveCount    = 3
 	maxHeaderBytes    = 64 << 10
 	connBufferBytes   = 4 << 10
+	// maxStatus is the highest status that an answer may have.
+	maxStatus = 599
 	// maxProbeBytes bounds the body of the answer to a probe. A probe fails if the body
 	// has this length or is longer.
 	maxProbeBytes = 4 << 10
 )
 
+// ReasonNoStatus is the reason of an attempt whose answer has a status that no final answer
+// has, so that it is not one.
+const ReasonNoStatus = "AnswerWithoutStatus"
+
 // Limits bound the connections of a Client.
 type Limits struct {
 	// Connections is the largest number of connections to one target. A quarter of
@@ -252,6 +258,11 @@
 	if err != nil {
 		return nil, track.classifyError(err)
 	}
+	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
+		_ = response.Body.Close()
+		track.closeConn()
+		return nil, fault.New(fault.MayHaveRun, http.StatusBadGateway, ReasonNoStatus)
+	}
 	track.setTargetIdleTimeout(response.Header.Get("Keep-Alive"))
 	info, failed := c.protocol.ParseResponse(response, request)
 	if failed != nil {
--- a/pkg/choose/attempt.go
+++ b/pkg/choose/attempt.go
@@ -75,6 +75,7 @@
 		return Actions{}
 	}
 	p.markObserved(s)
+	outcome = p.weighRejection(&p.requests[id].attempts[number-1], p.requests[id].Class, outcome)
 	if p.settings.Policy == spec.PolicySpeed {
 		p.learnFromOutcome(now, p.requests[id], number, outcome)
 	}
--- a/pkg/choose/target.go
+++ b/pkg/choose/target.go
@@ -84,6 +84,9 @@
 	estimate targetEstimate
 	// limiter is nil until the target names a limit.
 	limiter *limit.Limiter
+	// rejections are the shares of answers with a client error, by class. A class without an
+	// answer is missing.
+	rejections map[string]*rejectionShare
 }
 
 func newTargetState(t Target, limit int, now time.Time) *targetState {
--- a/pkg/choose/types.go
+++ b/pkg/choose/types.go
@@ -196,6 +196,9 @@
 // Outcome describes the end of an attempt.
 type Outcome struct {
 	Kind OutcomeKind
+	// Rejected means that the target answered with a client error (status 4xx), which may be
+	// a fault of its own.
+	Rejected bool
 	// Latency is the time from sending the request to the end of the attempt, which is the complete answer if there is one.
 	Latency time.Duration
 	// Report is nil if the target sent no report.
