--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -102,6 +102,8 @@
 	// holdOffs counts the answers in which a target named a time for which it wants no
 	// requests, and unusualHoldOffs those whose time was unusable or replaced by a bound.
 	holdOffs, unusualHoldOffs *metrics.Counter
+	// noStatus counts the answers to requests with a status that no answer has.
+	noStatus *metrics.Counter
 	// waited is the time from the arrival of a request to the grant of the attempt that
 	// won, target the latency of that attempt, and total the time from the arrival to
 	// the end of the answer, all in seconds.
@@ -122,6 +124,7 @@
 		limitedAnswers: counter("limited_answers"), limitedProbes: counter("limited_probes"), unusualLimits: counter("unusual_limits"),
 		leavingAnswers: counter("leaving_answers"), unusualDepartures: counter("unusual_departures"),
 		holdOffs: counter("hold_offs"), unusualHoldOffs: counter("unusual_hold_offs"),
+		noStatus: counter("answers_without_status"),
 	}
 }
 
