choose: order of organisations, room for urgent requests, spread returns, orders kept out of full queues

Cause: requests with ample time went before tight ones of a higher rank, so downloads took the slots of urgent reads; all organisations paid for one that sent 7.5 times its usual; refused callers came back at the same moment; 24 hosts filled the queues of targets that reset connections when they are full. Change: from the first request with an organisation on, the policy Speed orders by standing (owed, within or beyond the share of the organisation), rank of the organisation and rank of the route before ample or tight time, keeps fast targets open for earlier requests in the order, and spreads the times to return. After resets each host keeps to its part of the queues. Without organisations nothing changes.

--- a/pkg/choose/attempt.go
+++ b/pkg/choose/attempt.go
@@ -78,6 +78,7 @@
 	if p.settings.Policy == spec.PolicySpeed {
 		p.learnFromOutcome(now, p.requests[id], number, outcome)
 	}
+	p.observeFullQueue(now, &p.requests[id].attempts[number-1], outcome)
 	p.observeLimit(now, &p.requests[id].attempts[number-1], outcome)
 	if outcome.Report != nil {
 		s.recordReport(now, *outcome.Report)
--- a/pkg/choose/contention.go
+++ b/pkg/choose/contention.go
@@ -90,12 +90,8 @@
 // no more than 1/scarceTargetsDivisor of the fast targets are open.
 const scarceTargetsDivisor = 5
 
-// isScarce reports whether slots are contended and few fast targets are open.
-func (c *comparison) isScarce(p *Pool, now time.Time) bool {
-	if !p.isContended(now) {
-		return false
-	}
-	fast, open := 0, 0
+// countFast returns the number of fast targets and of the open ones among them.
+func (c *comparison) countFast() (fast, open int) {
 	for i := range c.candidates {
 		if s := &c.candidates[i]; !s.isSlow() {
 			fast++
@@ -104,6 +100,15 @@
 			}
 		}
 	}
+	return fast, open
+}
+
+// isScarce reports whether slots are contended and few fast targets are open.
+func (c *comparison) isScarce(p *Pool, now time.Time) bool {
+	if !p.isContended(now) {
+		return false
+	}
+	fast, open := c.countFast()
 	return open*scarceTargetsDivisor <= fast
 }
 
--- a/pkg/choose/doc.go
+++ b/pkg/choose/doc.go
@@ -96,6 +96,13 @@
 // target for each request on arrival. They are baselines for comparison. All policies
 // but Speed use spares only if no held target is usable.
 //
+// # Organisations
+//
+// An organisation has a share of the time of the targets, which its usual requests
+// determine. Its requests within that share go before those of others beyond theirs. From
+// the first request on that has an organisation, the policy Speed grants requests in the
+// order that order.go states.
+//
 // # Use
 //
 // A [Pool] is a state machine without goroutines, timers and I/O. The entry host passes
--- a/pkg/choose/limits.go
+++ b/pkg/choose/limits.go
@@ -207,7 +207,7 @@
 func (p *Pool) waitingBefore(r *pending) int {
 	ahead := 0
 	for other := range p.waiting.all {
-		if other.Priority <= r.Priority {
+		if other.precedence.compare(r.precedence) <= 0 {
 			ahead++
 		}
 	}
--- a/pkg/choose/pool.go
+++ b/pkg/choose/pool.go
@@ -43,6 +43,8 @@
 	spent time.Duration
 	// endsWithStop is set if Deadline is the end of the stop of the host.
 	endsWithStop bool
+	// precedence is the place of the request among those that wait.
+	precedence precedence
 	// wasTimely is set if the waiting request could still meet its objective at the last check.
 	wasTimely bool
 }
@@ -97,8 +99,9 @@
 	waitAcceptableAt time.Time
 	// overloaded is set from the detection of an overload until the queue is empty.
 	overloaded bool
-	// scratch, candidates and choices are reused by every choice to avoid allocations.
+	// scratch, candidates, ranking and choices are reused by every choice to avoid allocations.
 	scratch    []*targetState
+	ranking    []ranked
 	candidates []candidate
 	choices    map[string]choice
 	// byName indexes targets.
@@ -153,6 +156,11 @@
 	// knownHosts is the number of entry hosts that this host knows, itself included, and
 	// aliveHosts is the number of those that are alive.
 	knownHosts, aliveHosts int
+	// accounts are those of the organisations, and hasOrganisations is set once a request has had one.
+	accounts         accounts
+	hasOrganisations bool
+	// fullQueueAt is when a target last ended an attempt at once without an answer.
+	fullQueueAt time.Time
 	// otherDomainUsedAt is when a request was last sent to a target in another failure domain.
 	otherDomainUsedAt time.Time
 }
@@ -179,6 +187,7 @@
 		aliveHosts:         1,
 		usedByHost:         make(map[string][]*targetState),
 		departures:         make(map[string]departure),
+		accounts:           newAccounts(now),
 	}
 	p.extraBudget = budget.NewRetryBudget(settings.ExtraAttemptShare, p.extraAttemptBurst())
 	return p
@@ -282,6 +291,7 @@
 		request.AttemptsAtMost = p.settings.AttemptsAtMost
 	}
 	r := &pending{Request: request, arrived: now}
+	r.precedence = precedence{standing: within, organisation: r.OrganisationPriority, route: r.Priority}
 	p.refreshDepartures(now)
 	if !p.hasActiveTarget() {
 		return refuse(request.ID, ReasonNoTarget)
@@ -383,6 +393,9 @@
 // grant records an attempt of a request at a target and returns its grant.
 func (p *Pool) grant(now time.Time, r *pending, target *targetState, cause string) Grant {
 	target.startAttempt(now)
+	if p.hasOrganisations && len(r.attempts) == 0 {
+		p.accounts.grant(now, r.Organisation)
+	}
 	p.spendLimit(now, target)
 	p.inFlight++
 	p.markObserved(target)
@@ -412,6 +425,7 @@
 // ejection or when a report of foreign load expires. Under policies other than Speed, it
 // checks no request behind the first one that must keep waiting.
 func (p *Pool) Tick(now time.Time) Actions {
+	p.accounts.forget(now)
 	actions := p.expireByStop(now)
 	if p.settings.Policy == spec.PolicySpeed {
 		expired := p.expireBySpeed(now)
--- a/pkg/choose/queue.go
+++ b/pkg/choose/queue.go
@@ -6,7 +6,7 @@
 	"slices"
 )
 
-// queue holds the requests that wait for a slot, ordered by priority. Within a priority, those
+// queue holds the requests that wait for a slot, ordered by precedence. Within one, those
 // that need another attempt come before new ones, which are in the order of arrival.
 type queue struct {
 	order    *list.List
@@ -17,10 +17,10 @@
 	return &queue{order: list.New(), elements: make(map[uint64]*list.Element)}
 }
 
-// pushBack inserts a request after those of the same priority.
+// pushBack inserts a request after those of the same precedence.
 func (q *queue) pushBack(r *pending) {
 	for e := q.order.Back(); e != nil; e = e.Prev() {
-		if e.Value.(*pending).Priority <= r.Priority {
+		if e.Value.(*pending).precedence.compare(r.precedence) <= 0 {
 			q.elements[r.ID] = q.order.InsertAfter(r, e)
 			return
 		}
@@ -28,11 +28,11 @@
 	q.elements[r.ID] = q.order.PushFront(r)
 }
 
-// pushFront inserts a request before those of the same priority. It is used for
+// pushFront inserts a request before those of the same precedence. It is used for
 // retries, hedges and rescues, which have waited already.
 func (q *queue) pushFront(r *pending) {
 	for e := q.order.Front(); e != nil; e = e.Next() {
-		if e.Value.(*pending).Priority >= r.Priority {
+		if e.Value.(*pending).precedence.compare(r.precedence) >= 0 {
 			q.elements[r.ID] = q.order.InsertBefore(r, e)
 			return
 		}
@@ -51,15 +51,15 @@
 	}
 }
 
-// newestFirst yields the waiting requests by priority, and the last to arrive first
-// within a priority. The loop body may remove the current one.
+// newestFirst yields the waiting requests by precedence, and the last to arrive first
+// within one. The loop body may remove the current one.
 func (q *queue) newestFirst(yield func(*pending) bool) {
 	order := make([]*pending, 0, q.len())
 	for r := range q.all {
 		order = append(order, r)
 	}
 	slices.SortStableFunc(order, func(a, b *pending) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), b.arrived.Compare(a.arrived))
+		return cmp.Or(a.precedence.compare(b.precedence), b.arrived.Compare(a.arrived))
 	})
 	for _, r := range order {
 		if !yield(r) {
--- a/pkg/choose/replay_test.go
+++ b/pkg/choose/replay_test.go
@@ -61,17 +61,85 @@
 	load    float64
 	length  time.Duration
 	classes []requestClass
+	// organisations divide the arrivals of each class among them. Without any, requests have none.
+	organisations []organisation
+	surges        []surge
+	// ignoresOrganisations makes the hosts unaware of them.
+	ignoresOrganisations bool
+	// impatient is the share of callers that return at once after a refusal, up to repeats times.
+	impatient float64
+	repeats   int
+	// ailing is the number of targets that take ailingFactor times as long from ailingFrom on
+	// and don't report it.
+	ailing       int
+	ailingFactor float64
+	ailingFrom   time.Duration
+	// resetsWhenFull makes full targets end an attempt without an answer.
+	resetsWhenFull bool
+	// settings may change the settings of the pools.
+	settings func(settings *choose.Settings)
+}
+
+// organisation is a customer with a share of the usual arrivals.
+type organisation struct {
+	name     string
+	share    float64
+	priority int
+}
+
+// surge multiplies the arrivals of a class and an organisation for a time. Empty names stand
+// for all.
+type surge struct {
+	class, organisation string
+	factor              float64
+	from, to            time.Duration
+}
+
+// rate is the number of requests a second of a class that an organisation sends now.
+func (s *simulation) rate(class *requestClass, org *organisation) float64 {
+	rate := class.perSecond * s.workload.load * org.share
+	for _, u := range s.workload.surges {
+		if (u.class == "" || u.class == class.name) && (u.organisation == "" || u.organisation == org.name) && s.now >= u.from && s.now < u.to {
+			rate *= u.factor
+		}
+	}
+	return rate
 }
 
 // classResult counts the outcomes of the requests of one class.
 type classResult struct {
 	arrived, inTime, late, refused, failed int
-	earned, possible                       float64
+	// mayHaveRun counts the requests that failed after an attempt without an answer, and may
+	// not be sent again.
+	mayHaveRun       int
+	earned, possible float64
 	// waitedValue is the value of refused requests, weighted by their wait before the refusal. The
 	// weight is 0 up to an eighth of the objective, and 1 from three quarters of the time limit.
 	waitedValue float64
 }
 
+func (r *classResult) add(other *classResult) {
+	r.arrived += other.arrived
+	r.inTime += other.inTime
+	r.late += other.late
+	r.refused += other.refused
+	r.failed += other.failed
+	r.mayHaveRun += other.mayHaveRun
+	r.earned += other.earned
+	r.possible += other.possible
+	r.waitedValue += other.waitedValue
+}
+
+// served is the share of the requests that were answered.
+func (r *classResult) served() float64 {
+	return float64(r.inTime+r.late) / max(float64(r.arrived), 1)
+}
+
+// timely is the share of the requests that were answered within their objective.
+func (r *classResult) timely() float64 {
+	return float64(r.inTime) / max(float64(r.arrived), 1)
+}
+
 // share is the earned share of the possible value.
 func (r *classResult) share() float64 {
 	return r.earned / max(r.possible, 1)
@@ -112,8 +180,14 @@
 	targets  []*simTarget
 	byName   map[string]*simTarget
 	results  map[string]*classResult
-	nextID   uint64
-	sends    int
+	// byOrganisation holds the results of each organisation.
+	byOrganisation map[string]*classResult
+	nextID         uint64
+	sends          int
+	// latencies are the times from the first try to the answers.
+	latencies []time.Duration
+	// returns are the times at which refused callers came back.
+	returns []time.Duration
 }
 
 func (s *simulation) schedule(d time.Duration, do func()) {
@@ -127,7 +201,7 @@
 
 // replay runs a workload to its end and returns the simulation with the results.
 func replay(w workload, seed uint64) *simulation {
-	s := &simulation{workload: w, rng: rand.New(rand.NewPCG(seed, 7)), byName: make(map[string]*simTarget), results: make(map[string]*classResult)}
+	s := &simulation{workload: w, rng: rand.New(rand.NewPCG(seed, 7)), byName: make(map[string]*simTarget), results: make(map[string]*classResult), byOrganisation: make(map[string]*classResult)}
 	for i := range w.targets {
 		t := &simTarget{sim: s, index: i, name: fmt.Sprintf("t%03d", i), domain: fmt.Sprintf("d%d", i%w.domains)}
 		s.targets = append(s.targets, t)
@@ -137,10 +211,19 @@
 	for i := range w.hosts {
 		s.hosts = append(s.hosts, newSimHost(s, i))
 	}
+	organisations := w.organisations
+	if len(organisations) == 0 {
+		organisations = []organisation{{share: 1}}
+	}
+	for i := range organisations {
+		s.byOrganisation[organisations[i].name] = &classResult{}
+	}
 	for i := range w.classes {
 		class := &w.classes[i]
 		s.results[class.name] = &classResult{}
-		s.arrivals(class)
+		for j := range organisations {
+			s.arrivals(class, &organisations[j])
+		}
 	}
 	if w.disturb != nil {
 		s.repeatDisturbance()
@@ -176,42 +259,48 @@
 func (s *simulation) total() classResult {
 	var all classResult
 	for _, result := range s.results {
-		all.arrived += result.arrived
-		all.inTime += result.inTime
-		all.late += result.late
-		all.refused += result.refused
-		all.failed += result.failed
-		all.earned += result.earned
-		all.possible += result.possible
-		all.waitedValue += result.waitedValue
+		all.add(result)
 	}
 	return all
 }
 
-func (s *simulation) arrivals(class *requestClass) {
-	gap := time.Duration(s.rng.ExpFloat64() / (class.perSecond * s.workload.load) * float64(time.Second))
+func (s *simulation) arrivals(class *requestClass, org *organisation) {
+	gap := time.Duration(s.rng.ExpFloat64() / s.rate(class, org) * float64(time.Second))
 	s.schedule(gap, func() {
 		if s.now > s.workload.length {
 			return
 		}
-		result := s.results[class.name]
-		result.arrived++
-		result.possible += class.value
-		c := &simCaller{sim: s, class: class, started: s.now, retries: 1}
+		c := &simCaller{sim: s, class: class, org: org, started: s.now, retries: 1}
+		if s.workload.impatient > 0 && s.rng.Float64() < s.workload.impatient {
+			c.isImpatient = true
+			c.retries = s.workload.repeats
+		}
 		// The factor is log-normal with a mean of 1. Its logarithm has a standard deviation of 0.3.
 		c.work = time.Duration(float64(class.work) * math.Exp(0.3*s.rng.NormFloat64()-0.045))
+		c.record(func(r *classResult) {
+			r.arrived++
+			r.possible += class.value
+		})
 		c.submit()
-		s.arrivals(class)
+		s.arrivals(class, org)
 	})
 }
 
-// simCaller is one call with at most one retry.
+// simCaller is one call with a number of retries, one unless the caller is impatient.
 type simCaller struct {
-	sim     *simulation
-	class   *requestClass
-	started time.Duration
-	work    time.Duration
-	retries int
+	sim         *simulation
+	class       *requestClass
+	org         *organisation
+	started     time.Duration
+	work        time.Duration
+	retries     int
+	isImpatient bool
+}
+
+// record applies a change to the results of the class and of the organisation.
+func (c *simCaller) record(change func(r *classResult)) {
+	change(c.sim.results[c.class.name])
+	change(c.sim.byOrganisation[c.org.name])
 }
 
 func (c *simCaller) submit() {
@@ -224,32 +313,38 @@
 }
 
 func (c *simCaller) answered() {
-	result := c.sim.results[c.class.name]
-	switch took := c.sim.now - c.started; {
-	case took <= c.class.objective:
-		result.inTime++
-		result.earned += c.class.value
-	default:
-		result.late++
-		result.earned += c.class.value / 10
-	}
+	took := c.sim.now - c.started
+	c.sim.latencies = append(c.sim.latencies, took)
+	c.record(func(r *classResult) {
+		if took <= c.class.objective {
+			r.inTime++
+			r.earned += c.class.value
+		} else {
+			r.late++
+			r.earned += c.class.value / 10
+		}
+	})
 }
 
 // refused retries after the time that the host asked for, at least 30 ms, but after no more
-// than a third of the remaining time.
+// than a third of the remaining time. Impatient callers retry at once.
 func (c *simCaller) refused(retryAfter time.Duration) {
 	wait := min(max(retryAfter, 30*time.Millisecond), c.left()/3)
+	if c.isImpatient {
+		wait = min(time.Millisecond, wait)
+	}
 	if c.retries == 0 || wait <= 0 {
-		c.sim.results[c.class.name].refused++
+		c.record(func(r *classResult) { r.refused++ })
 		return
 	}
 	c.retries--
+	c.sim.returns = append(c.sim.returns, c.sim.now+wait)
 	c.sim.schedule(wait, c.submit)
 }
 
 func (c *simCaller) failed(mayRetry bool) {
 	if !mayRetry || c.retries == 0 || c.left() <= 0 {
-		c.sim.results[c.class.name].failed++
+		c.record(func(r *classResult) { r.failed++ })
 		return
 	}
 	c.retries--
@@ -285,10 +380,14 @@
 
 func newSimHost(s *simulation, index int) *simHost {
 	h := &simHost{sim: s, name: fmt.Sprintf("h%d", index), domain: fmt.Sprintf("d%d", index%s.workload.domains), requests: make(map[uint64]*simRequest), toldLeaving: make(map[string]time.Duration)}
-	h.pool = choose.New(choose.Settings{
+	settings := choose.Settings{
 		Policy: spec.PolicySpeed, Slots: s.workload.slots, AttemptsAtMost: 2, ExtraAttemptShare: 0.18, ExtraBurst: 37, HedgeQuantile: 0.95,
 		BusyShare: 0.9, QuietAfter: 100 * time.Millisecond, FailureDomain: h.domain, ChargeRescues: true,
-	}, uint64(index), testStart)
+	}
+	if s.workload.settings != nil {
+		s.workload.settings(&settings)
+	}
+	h.pool = choose.New(settings, uint64(index), testStart)
 	h.pool.SetSharingHosts(s.workload.hosts)
 	h.setView(index, s.workload.hosts, s.workload.hosts)
 	s.schedule(time.Duration(index)*3*time.Millisecond, h.tick)
@@ -373,8 +472,13 @@
 	r := &simRequest{caller: c, id: h.sim.nextID, arrived: h.sim.now, deadline: h.sim.now + timeLimit, attempts: make(map[int]*simAttempt)}
 	h.requests[r.id] = r
 	h.sim.schedule(timeLimit, func() { h.expire(r) })
+	org := *c.org
+	if h.sim.workload.ignoresOrganisations {
+		org = organisation{}
+	}
 	h.apply(h.pool.Arrive(h.sim.clock(), choose.Request{
 		ID: r.id, Idempotent: c.class.idempotent, Deadline: testStart.Add(r.deadline), Patience: c.left(), Class: c.class.name, Priority: c.class.priority, Objective: c.class.objective,
+		Organisation: org.name, OrganisationPriority: org.priority,
 	}))
 }
 
@@ -420,7 +524,9 @@
 	waited := float64(h.sim.now - r.arrived)
 	free := float64(class.objective) / 8
 	full := 0.75 * float64(r.deadline-r.arrived)
-	h.sim.results[class.name].waitedValue += class.value * min(max((waited-free)/max(full-free, 1), 0), 1)
+	r.caller.record(func(result *classResult) {
+		result.waitedValue += class.value * min(max((waited-free)/max(full-free, 1), 0), 1)
+	})
 }
 
 func (h *simHost) grant(grant choose.Grant) {
@@ -488,6 +594,11 @@
 		r.caller.answered()
 		return
 	}
+	if outcome.Kind == choose.Errored && !r.caller.class.idempotent {
+		h.close(r)
+		r.caller.record(func(result *classResult) { result.mayHaveRun++ })
+		return
+	}
 	if actions, allowed := h.pool.Retry(h.sim.clock(), r.id, false); allowed {
 		h.apply(actions)
 		return
@@ -553,10 +664,11 @@
 }
 
 func (t *simTarget) decline(attempt *simAttempt) {
-	report, named, isLeaving := t.report(), t.named(), t.isLeaving()
-	t.sim.schedule(attempt.host.networkDelay(t), func() {
-		attempt.host.receiveAnswer(attempt, choose.Outcome{Kind: choose.Declined, Report: report, Limit: named}, isLeaving)
-	})
+	outcome, isLeaving := choose.Outcome{Kind: choose.Declined, Report: t.report(), Limit: t.named()}, t.isLeaving()
+	if t.sim.workload.resetsWhenFull {
+		outcome, isLeaving = choose.Outcome{Kind: choose.Errored}, false
+	}
+	t.sim.schedule(attempt.host.networkDelay(t), func() { attempt.host.receiveAnswer(attempt, outcome, isLeaving) })
 }
 
 func (t *simTarget) start(attempt *simAttempt) {
@@ -565,6 +677,9 @@
 	if len(t.running) >= t.sim.workload.slots {
 		factor *= t.sim.workload.saturationSlowdown
 	}
+	if w := &t.sim.workload; t.index < w.ailing && t.sim.now >= w.ailingFrom {
+		factor *= w.ailingFactor
+	}
 	t.sim.schedule(time.Duration(factor*float64(attempt.request.caller.work)), func() { t.finish(attempt) })
 }
 
--- a/pkg/choose/speed.go
+++ b/pkg/choose/speed.go
@@ -110,7 +110,7 @@
 
 func (p *Pool) candidate(now time.Time, s *targetState) candidate {
 	occupancy := s.occupancy(now)
-	isOpen := p.isOpen(s, occupancy) && p.limitAllows(now, s)
+	isOpen := p.isOpen(s, occupancy) && p.limitAllows(now, s) && p.hasOwnRoom(now, s)
 	return candidate{targetState: s, forecast: p.forecast(now, s, occupancy), open: isOpen}
 }
 
@@ -205,6 +205,7 @@
 // it late or no target could meet its deadline.
 func (p *Pool) arriveBySpeed(now time.Time, r *pending) Actions {
 	r.spent = p.spentBefore(r)
+	r.precedence.standing = p.standingOf(now, r)
 	if refusal, isRefused := p.refuseByLimit(now, r, p.waitingBefore(r)); isRefused {
 		return Actions{Refusals: []Refusal{refusal}}
 	}
@@ -212,7 +213,7 @@
 		if p.canMeetObjective(now, r) {
 			p.contendedAt = now
 		}
-		return Actions{Refusals: []Refusal{{Request: r.ID, Reason: ReasonQueueFull, RetryAfter: wait}}}
+		return Actions{Refusals: []Refusal{{Request: r.ID, Reason: ReasonQueueFull, RetryAfter: p.returnAfter(now, wait, r)}}}
 	}
 	if p.missesDeadline(now, r) {
 		return refuse(r.ID, r.deadlineReason())
@@ -232,7 +233,7 @@
 	}
 	ahead := time.Duration(0)
 	for other := range p.waiting.all {
-		if other.Priority <= r.Priority && p.canMeetObjective(now, other) {
+		if other.precedence.compare(r.precedence) <= 0 && p.canMeetObjective(now, other) {
 			ahead += p.fastLatency(other)
 		}
 	}
@@ -251,7 +252,7 @@
 	if rate == 0 {
 		rate = 1 / float64(max(p.sharingHosts, 1))
 	}
-	measured := p.grantedWork.availableTo(now, r.Priority)
+	measured := p.grantedWork.availableTo(now, r.precedence)
 	return time.Duration(float64(ahead) / max(min(rate, measured), minGrantRateShare*rate))
 }
 
@@ -318,10 +319,14 @@
 	var actions Actions
 	if p.waiting.len() > 0 {
 		c := p.compare(now)
-		p.dispatchGroup(now, &c, ample, &actions)
-		p.dispatchGroup(now, &c, tight, &actions)
-		p.updateContention(now)
-		p.dispatchGroup(now, &c, late, &actions)
+		if p.hasOrganisations {
+			p.dispatchByOrder(now, &c, &actions)
+		} else {
+			p.dispatchGroup(now, &c, ample, &actions)
+			p.dispatchGroup(now, &c, tight, &actions)
+			p.updateContention(now)
+			p.dispatchGroup(now, &c, late, &actions)
+		}
 	}
 	p.updateLoad(now)
 	return actions
@@ -376,7 +381,7 @@
 	sent := &r.attempts[len(r.attempts)-1]
 	sent.expectedLatency = chosen.latency
 	sent.wasSlow = chosen.target.isSlow()
-	p.grantedWork.add(now, r.Priority, p.work(r))
+	p.grantedWork.add(now, r.precedence, p.work(r))
 	if len(chosen.target.attemptTimes) == 1 {
 		chosen.target.estimate.oldestExpectedLatency = chosen.latency
 	}
@@ -417,7 +422,7 @@
 			actions.Refusals = append(actions.Refusals, Refusal{Request: r.ID, Reason: r.deadlineReason()})
 		case timely > 0 && !p.canMeetObjective(now, r):
 			p.waiting.remove(r.ID)
-			actions.Refusals = append(actions.Refusals, Refusal{Request: r.ID, Reason: ReasonQueueFull})
+			actions.Refusals = append(actions.Refusals, Refusal{Request: r.ID, Reason: ReasonQueueFull, RetryAfter: p.returnAfter(now, 0, r)})
 		}
 	}
 	return actions
--- a/pkg/choose/types.go
+++ b/pkg/choose/types.go
@@ -88,7 +88,8 @@
 	// OrganisationPriority is the rank of the caller's organisation. It goes before Priority,
 	// lower values first. It is zero without an organisation.
 	OrganisationPriority int
-	// Organisation is the name of the caller's organisation; empty if there is none.
+	// Organisation is the name of the caller's organisation; empty if there is none. From the
+	// first request that has one, the policy Speed orders requests by their organisations too.
 	Organisation string
 	// Patience is the time limit that the caller sent with this try of the request;
 	// zero means none. Deadline may be earlier because of other limits.
