--- a/pkg/allot/owner.go
+++ b/pkg/allot/owner.go
@@ -13,6 +13,8 @@
 	resumePause   = 700 * time.Millisecond
 	// pausedAfter is the time without a call of Tick after which the owner counts as paused.
 	pausedAfter = 800 * time.Millisecond
+	// regainAfter is the time after which a host that becomes the owner again begins anew.
+	regainAfter = 500 * time.Millisecond
 	// reachPause is the time after which the owner gives more when more hosts are alive.
 	reachPause = 1500 * time.Millisecond
 	// aheadPart is the part of a bucket that hosts may have for later requests.
@@ -29,10 +31,11 @@
 // while another host is the owner.
 type Owner struct {
 	isOwner bool
-	// since is when the host became the owner or went on after a pause.
-	since    time.Duration
-	tickedAt time.Duration
-	isAlone  bool
+	// since is when the host became the owner or went on after a pause. lostAt is when it was
+	// last no longer the owner.
+	since, lostAt time.Duration
+	tickedAt      time.Duration
+	isAlone       bool
 	// reach is the part of the known hosts that are alive. If it has become larger, lasting is
 	// raised to it at risesAt, which is zero otherwise.
 	reach, lasting float64
@@ -44,7 +47,7 @@
 
 // NewOwner returns the part of a host that isn't the owner.
 func NewOwner() *Owner {
-	return &Owner{accounts: make(map[uint32]*account), numbers: make(map[string]uint64)}
+	return &Owner{lostAt: -regainAfter - 1, accounts: make(map[uint32]*account), numbers: make(map[string]uint64)}
 }
 
 // account is the bucket of one organisation.
@@ -64,18 +67,36 @@
 // view, which part of the hosts that it knows is alive, and whether it knows no other host.
 func (o *Owner) Tick(now time.Duration, isOwner bool, reach float64, isAlone bool) {
 	isPaused := o.isOwner && !isAlone && now-o.tickedAt > pausedAfter
-	if isPaused || isOwner != o.isOwner {
-		clear(o.accounts)
-		clear(o.numbers)
-		o.since = now
-		if isPaused {
-			o.since += resumePause
-		}
+	switch {
+	case isPaused:
+		o.begin(now + resumePause)
+	case o.isOwner && !isOwner:
+		o.lostAt = now
+	case isOwner && !o.isOwner && now-o.lostAt <= regainAfter:
+		o.skip(now - o.lostAt)
+	case isOwner && !o.isOwner:
+		o.begin(now)
 	}
 	o.isOwner, o.tickedAt, o.isAlone = isOwner, now, isAlone
 	o.updateReach(now, min(max(reach, 0), 1))
 }
 
+// begin empties the buckets of an owner that gives tokens from a time on.
+func (o *Owner) begin(since time.Duration) {
+	clear(o.accounts)
+	clear(o.numbers)
+	o.since = since
+}
+
+// skip leaves out the inflow of a time in which the host was not the owner. Its view may have
+// been wrong for a moment, in particular while many hosts start.
+func (o *Owner) skip(absence time.Duration) {
+	o.since += absence
+	for _, a := range o.accounts {
+		a.filledAt += absence
+	}
+}
+
 // updateReach lowers the lasting reach at once and raises it after a while. When a divided
 // fleet is whole again, the owners of its other parts have given up by then.
 func (o *Owner) updateReach(now time.Duration, reach float64) {
