--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -207,8 +207,8 @@
 // callerFields returns the fields that bound what callers can make the host hold.
 func (s *Settings) callerFields() []spec.Field {
 	return []spec.Field{
-		{Section: "Host", Key: "MemoryMB", Unit: "MB", Default: "512", Allowed: "32 to 1048576", About: "Memory that the process may use. The garbage collector works harder above three quarters of it.", Set: spec.Int(&s.MemoryMB, 32, 1<<20)},
-		{Section: "Host", Key: "Descriptors", Unit: "descriptors", Default: "4096", Allowed: "256 to 1048576", About: "Number of descriptors that the process may have open, with those of files, for which 200 are kept.", Set: spec.Int(&s.Descriptors, 256, 1<<20)},
+		emptyIsDefault(spec.Field{Section: "Host", Key: "MemoryMB", Unit: "MB", Default: "512", Allowed: "32 to 1048576", About: "Memory that the process may use. The garbage collector works harder above three quarters of it.", Set: spec.Int(&s.MemoryMB, 32, 1<<20)}),
+		emptyIsDefault(spec.Field{Section: "Host", Key: "Descriptors", Unit: "descriptors", Default: "4096", Allowed: "256 to 1048576", About: "Number of descriptors that the process may have open, with those of files, for which 200 are kept.", Set: spec.Int(&s.Descriptors, 256, 1<<20)}),
 		{Section: "Callers", Key: "ConnectionsAtMost", Unit: "connections", Default: "0", Allowed: "0 to 1048576; 0 means two thirds of Descriptors less 200, or one for each 96 KiB of MemoryMB if that is less", About: "Largest number of open connections of callers. Beyond it, connections that have sent no whole head are closed first, then idle ones.", Set: spec.Int(&s.CallerConnections, 0, 1<<20)},
 		{Section: "Callers", Key: "HeldBytesAtMost", Unit: "bytes", Default: "0", Allowed: "0 to 1099511627776; 0 means an eighth of MemoryMB", About: "Largest number of bytes held for callers: heads, bodies in memory and answers that are not read. Beyond it, connections with unfinished heads are closed first, then those with unfinished bodies and those that read no answer; further requests are refused with 503.", Set: spec.Int(&s.CallerBytes, 0, 1<<40)},
 		{Section: "Callers", Key: "HeadBytesAtMost", Unit: "bytes", Default: "65536", Allowed: "4096 to 1048576", About: "Largest head of a request. A longer one gets status 431.", Set: spec.Int(&s.HeadBytesAtMost, 4096, 1<<20)},
@@ -294,6 +294,19 @@
 	}
 }
 
+// emptyIsDefault returns a field whose empty value counts as the default, because a template
+// has one where a platform states no such limit.
+func emptyIsDefault(field spec.Field) spec.Field {
+	set := field.Set
+	field.Set = func(value string) bool {
+		if value == "" {
+			value = field.Default
+		}
+		return set(value)
+	}
+	return field
+}
+
 // Parse reads settings from an INI text and checks them. The file name is used in errors
 // only. Every error is a *spec.FieldError.
 func Parse(file string, text []byte) (Settings, error) {
--- a/internal/config/settings_test.go
+++ b/internal/config/settings_test.go
@@ -37,6 +37,8 @@
 		{"unknown key", validSettings + "Speed = 1\n", "Speed"},
 		{"unknown subsystem", validSettings + "[Observability]\nLogLevels = moon=debug\n", "LogLevels"},
 		{"empty list of peers, as from a template", validSettings + "[Peers]\nAddresses =\n", ""},
+		{"empty memory and descriptors, as from a template", strings.Replace(validSettings, "[Host]", "[Host]\nMemoryMB =\nDescriptors = ", 1), ""},
+		{"too little memory", strings.Replace(validSettings, "[Host]", "[Host]\nMemoryMB = 1", 1), "MemoryMB"},
 		{"peer address with a host name", validSettings + "[Peers]\nAddresses = 127.0.0.1:1,host:2\n", "Addresses"},
 		{"FailAfterMillis shorter than two heartbeats", validSettings + "[Membership]\nHeartbeatMillis = 1000\nFailAfterMillis = 1500\n", "FailAfterMillis"},
 	}
