--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"gitlab.com/curranttiller/curranttiller/pkg/choose"
 	"gitlab.com/curranttiller/curranttiller/pkg/fault"
 	"gitlab.com/curranttiller/curranttiller/pkg/limit"
@@ -26,6 +28,10 @@
 	keepAliveCount    = 3
 	maxHeaderBytes    = 64 << 10
 	connBufferBytes   = 4 << 10
+	// After an answer is late, the connections to other targets count as working if at least
+	// minAnsweringTargets of these have answered within recentAnswer.
+	minAnsweringTargets = 3
+	recentAnswer        = 100 * time.Millisecond
 	// maxProbeBytes bounds the body of the answer to a probe. A probe fails if the body
 	// has this length or is longer.
 	maxProbeBytes = 4 << 10
@@ -62,6 +68,9 @@
 	// Instance identifies the process of the target that the attempt is for. It is
 	// empty if targets are identified by address only.
 	Instance string
+	// OnStated is called with what the header of the response states, before Do returns and
+	// also if the response can't be used as an answer. It may be nil.
+	OnStated func(ResponseInfo)
 }
 
 // Answer is a target's answer with its body still unread.
@@ -89,7 +98,8 @@
 	SetHeaders(headers http.Header, request *Request)
 	// ParseResponse reads the load and the verdict from the header of a response. An
 	// error means that the response can't be used, for example because it is not the
-	// target's answer to this attempt. The connection is then closed.
+	// target's answer to this attempt. The connection is then closed. The information may
+	// still have a HoldOff.
 	ParseResponse(response *http.Response, request *Request) (ResponseInfo, *fault.Error)
 	// ProbeRequest returns the request that asks a target for its load.
 	ProbeRequest(service, address, instance string) *Request
@@ -103,10 +113,20 @@
 	Limit limit.Named
 	// Departure is what the response states about the target's leaving.
 	Departure Departure
+	// HoldOff is the time for which the target wants nothing more from this host.
+	HoldOff choose.HoldOff
+	// Cold is what the answer to a probe states about the time until the target is warm.
+	Cold Cold
 	// Verdict says whether the target ran the work.
 	Verdict fault.Verdict
 }
 
+// Cold is what the answer to a probe states about the time until the target is warm.
+type Cold struct {
+	IsStated bool
+	Left     time.Duration
+}
+
 // Departure is what one answer of a target states about its leaving.
 type Departure struct {
 	// IsLeaving says that the instance that answered will end and wants no new requests.
@@ -168,7 +188,7 @@
 	if err != nil {
 		return nil, err
 	}
-	tracked := &trackedConn{Conn: conn}
+	tracked := &trackedConn{Conn: conn, address: address, openedAt: time.Now()}
 	tracked.onClose = func() { c.removeConn(tracked) }
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -195,13 +215,33 @@
 	return int(c.unconnected.Load())
 }
 
-// CloseIdleSince closes the idle connections whose last answer ended at the time since
-// or earlier. A device on the path may have lost the state of these connections, so that
-// requests on them would get no answer. The transport may still assign such a connection
+// CloseDoubtful closes idle connections after a request that was sent to an address at the
+// time since has got no answer in time. A device on the path may have lost the state of
+// connections, so that requests on them would get no answer either. The connections to that
+// address are closed whose last answer ended at the time since or earlier, and those to
+// other addresses too, unless enough other connections of that age have just carried
+// answers. The transport may still assign such a connection
 // to an attempt until it has noticed the close. None of the attempt's bytes are written
 // then, and it fails with the verdict NotRun.
-func (c *Client) CloseIdleSince(since time.Time) {
-	c.closeBlocked(func(conn *trackedConn) bool { return conn.blockIfIdleSince(since) })
+func (c *Client) CloseDoubtful(now, since time.Time, address string) {
+	pathWorks := c.pathWorks(now, since, address)
+	c.closeBlocked(func(conn *trackedConn) bool {
+		return (!pathWorks || conn.address == address) && conn.blockIfIdleSince(since)
+	})
+}
+
+// pathWorks reports whether enough connections to other addresses that are older than a late
+// request have carried answers so recently that they can't all have been lost since.
+func (c *Client) pathWorks(now, since time.Time, address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	answered := make(map[string]bool)
+	for conn := range c.conns {
+		if conn.address != address && conn.hasAnswered(since, now.Add(-recentAnswer)) {
+			answered[conn.address] = true
+		}
+	}
+	return len(answered) >= minAnsweringTargets
 }
 
 // CloseExpired closes the idle connections that the targets are about to close
@@ -254,6 +294,9 @@
 	}
 	track.setTargetIdleTimeout(response.Header.Get("Keep-Alive"))
 	info, failed := c.protocol.ParseResponse(response, request)
+	if request.OnStated != nil {
+		request.OnStated(info)
+	}
 	if failed != nil {
 		_ = response.Body.Close()
 		track.closeConn()
@@ -376,7 +419,10 @@
 	if !strings.HasPrefix(request.URI, "//") {
 		// Opaque keeps net/http from encoding the path and query anew.
 		uri.Opaque = request.URI
-		uri.RawQuery = ""
+		uri.RawQuery, uri.ForceQuery = "", false
+	}
+	if uri.RequestURI() != request.URI {
+		return nil, eris.New("net/http would change the path or query")
 	}
 	outgoing := &http.Request{
 		Method: request.Method,
@@ -406,11 +452,12 @@
 // Probe asks a target for its load. A report with status 503 is returned and marked as
 // unhealthy, because the target did answer. The results of requests decide whether it is
 // usable.
-func (c *Client) Probe(ctx context.Context, service, address, instance string, timeout time.Duration) ProbeResult {
+func (c *Client) Probe(ctx context.Context, service, address, instance string, timeout time.Duration, onStated func(ResponseInfo)) ProbeResult {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request := c.protocol.ProbeRequest(service, address, instance)
 	request.Deadline = time.Now().Add(timeout)
+	request.OnStated = onStated
 	answer, err := c.Do(ctx, request)
 	if err != nil {
 		return ProbeResult{}
