choose, config: early hedges within a share of extra work that the operator sets

Cause: a request at a target that slows down just after it was sent waited 2.2 times its expected latency for a hedge, which is beyond most objectives, and there was no limit of extra work for answers that are only late. Change: with HedgeShareOfRequests (0 by default: off), each tick sends second attempts of idempotent requests in order of their gain, the probability that the second one meets the objective and the first one doesn't; never while requests wait or a third or fewer of the fast targets are open, and within the budget of extra attempts too. Each host earns the share with its own requests.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -76,6 +76,9 @@
 	// the total capacity of their token buckets. Only FormStore uses them.
 	RetryShare float64
 	RetryBurst float64
+	// HedgeShare limits the early hedges of all hosts together, as a fraction of the number of
+	// requests. Only FormStore uses it.
+	HedgeShare float64
 	// ProbesPerSecond is the largest rate of probes that all hosts together send to one
 	// target. Only FormStore uses it.
 	ProbesPerSecond float64
@@ -163,6 +166,7 @@
 		{Section: "Stop", Key: "HoldMillis", Unit: "ms", Default: "2500", Allowed: "0 to 600000", About: "How long a stopping host accepts requests from callers that still use its address, at most 45% of GraceSeconds (form Store). Those that are not expected to end before the stop does are refused. Later requests are accepted only if their deadline passes before that.", Set: spec.Millis(&s.StopHold, 0, 10*time.Minute)},
 		{Section: "Stop", Key: "GraceSeconds", Unit: "s", Default: "6", Allowed: "0.1 to 600", About: "Time from the stop signal until the platform kills the process. After nine tenths of it the host answers the requests that are still in flight: with 503 those that have certainly not run, and with 502 the others (form Store).", Set: parseSeconds(&s.StopGrace)},
 		{Section: "Retries", Key: "ShareOfRequests", Default: "0.2", Allowed: "0 to 1", About: "Largest number of extra attempts, such as retries and hedges, of all entry hosts together, as a fraction of the number of requests (form Store).", Set: spec.Float(&s.RetryShare, 0, 1)},
+		{Section: "Retries", Key: "HedgeShareOfRequests", Default: "0", Allowed: "0 to 0.5; 0 sends none", About: "Largest number of second attempts, of all entry hosts together and as a fraction of the number of requests, that are sent for idempotent requests whose answer would probably miss the latency objective (form Store). They count towards ShareOfRequests too.", Set: spec.Float(&s.HedgeShare, 0, 0.5)},
 		{Section: "Retries", Key: "Burst", Unit: "attempts", Default: "50", Allowed: "0 to 100000", About: "Number of extra attempts that all entry hosts together may send at once (form Store). It is the total capacity of their token buckets, which ShareOfRequests refills.", Set: spec.Float(&s.RetryBurst, 0, 100000)},
 		{Section: "Measuring", Key: "ProbesPerSecond", Unit: "probes/s", Default: "10", Allowed: "0 to 10000", About: "Largest rate of probes that all entry hosts together send to one target (form Store).", Set: spec.Float(&s.ProbesPerSecond, 0, 10000)},
 	}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -168,6 +168,7 @@
 		QueueWaitAtMost:   document.QueueWaitAtMost,
 		AttemptsAtMost:    document.AttemptsAtMost,
 		ExtraAttemptShare: document.ExtraAttemptShare,
+		HedgeShare:        document.HedgeShare,
 		HedgeQuantile:     document.HedgeQuantile,
 		BusyShare:         document.BusyShare,
 		QuietAfter:        document.QuietAfter,
--- a/pkg/budget/share.go
+++ b/pkg/budget/share.go
@@ -75,6 +75,11 @@
 	r.tokens = min(r.tokens+r.share, r.burst)
 }
 
+// Has reports whether there is a token.
+func (r *RetryBudget) Has() bool {
+	return r.tokens >= 1
+}
+
 // Spend takes a token and reports whether there was one. A unit of extra work is allowed only if there was.
 func (r *RetryBudget) Spend() bool {
 	return r.SpendAbove(0)
--- a/pkg/choose/pool.go
+++ b/pkg/choose/pool.go
@@ -62,6 +62,9 @@
 	wasSlow bool
 	// wasFull is set if no slot of the target was free after the attempt was sent.
 	wasFull bool
+	// slowdownAfter is the slowdown in the first report after the attempt was sent, zero before.
+	// Only early hedges need it.
+	slowdownAfter float64
 	// suspect is set if the connection may be dead. The attempt no longer occupies a slot then.
 	suspect bool
 }
@@ -84,6 +87,8 @@
 	latencies *latencyStats
 	// extraBudget is the token bucket for extra attempts.
 	extraBudget *budget.RetryBudget
+	// hedgeBudget is the token bucket for early hedges.
+	hedgeBudget *budget.RetryBudget
 	wastedWork  wastedWork
 	rng         *rand.Rand
 	// rotation counts the choices of the policy RoundRobin.
@@ -196,6 +201,7 @@
 		accounts:           newAccounts(now),
 	}
 	p.extraBudget = budget.NewRetryBudget(settings.ExtraAttemptShare, p.extraAttemptBurst())
+	p.hedgeBudget = p.newHedgeBudget()
 	return p
 }
 
@@ -205,6 +211,7 @@
 // called.
 func (p *Pool) SetSettings(settings Settings, now time.Time) Actions {
 	isBudgetChanged := settings.ExtraAttemptShare != p.settings.ExtraAttemptShare || settings.ExtraBurst != p.settings.ExtraBurst
+	isHedgeShareChanged := settings.HedgeShare != p.settings.HedgeShare
 	p.latencies.hedgeQuantile = settings.HedgeQuantile
 	for _, s := range p.targets {
 		if s.Slots == 0 && s.limit >= p.settings.Slots {
@@ -213,6 +220,9 @@
 	}
 	p.settings = settings
 	p.recountTargets()
+	if isHedgeShareChanged {
+		p.hedgeBudget = p.newHedgeBudget()
+	}
 	if isBudgetChanged {
 		p.extraBudget = budget.NewRetryBudget(settings.ExtraAttemptShare, p.extraAttemptBurst())
 	}
@@ -297,6 +307,7 @@
 // Release must be called at the end of the request, also after a refusal.
 func (p *Pool) Arrive(now time.Time, request Request) Actions {
 	p.extraBudget.Earn()
+	p.hedgeBudget.Earn()
 	if request.AttemptsAtMost == 0 {
 		request.AttemptsAtMost = p.settings.AttemptsAtMost
 	}
@@ -448,6 +459,9 @@
 	granted := p.dispatch(now)
 	actions.Grants = granted.Grants
 	actions.Refusals = append(actions.Refusals, granted.Refusals...)
+	if p.settings.Policy == spec.PolicySpeed && p.settings.HedgeShare > 0 {
+		actions.Grants = append(actions.Grants, p.hedgeEarly(now).Grants...)
+	}
 	return actions
 }
 
--- a/pkg/choose/replay_test.go
+++ b/pkg/choose/replay_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"gitlab.com/curranttiller/curranttiller/pkg/choose"
@@ -85,6 +86,8 @@
 	resetsWhenFull bool
 	// settings may change the settings of the pools.
 	settings func(settings *choose.Settings)
+	// hedged is called for each early hedge.
+	hedged func()
 }
 
 // organisation is a customer with a share of the usual arrivals.
@@ -544,6 +547,9 @@
 		h.apply(h.pool.Finish(h.sim.clock(), grant.Request, grant.Attempt, choose.Outcome{Kind: choose.Unused}))
 		return
 	}
+	if h.sim.workload.hedged != nil && strings.Contains(grant.Cause, "probably late") {
+		h.sim.workload.hedged()
+	}
 	t := h.sim.byName[grant.Target]
 	attempt := &simAttempt{host: h, request: r, number: grant.Attempt, target: t, sent: h.sim.now}
 	r.attempts[grant.Attempt] = attempt
--- a/pkg/choose/types.go
+++ b/pkg/choose/types.go
@@ -25,6 +25,10 @@
 	// 1 turns hedging off. The policy Speed derives the delay from the expected latency
 	// instead, and only checks that hedging is on.
 	HedgeQuantile float64
+	// HedgeShare is the largest number of early hedges as a share of the number of requests;
+	// zero turns them off. They spend from the budget of ExtraAttemptShare too. Only the policy
+	// Speed sends them.
+	HedgeShare float64
 	// BusyShare is the smoothed share of busy slots above which no extra attempts are made.
 	// Each waiting request counts as a busy slot.
 	BusyShare float64
@@ -120,7 +124,7 @@
 	// is no answer; zero while the latency of the service is unknown.
 	SuspectAfter time.Duration
 	// Cause describes why this target was chosen. It begins with CauseHedge for a
-	// hedge that Pool.Hedge returns, but not for one that has waited in the queue.
+	// hedge that Pool.Hedge or Pool.Tick returns, but not for one that has waited in the queue.
 	Cause string
 	// Slowdown is the last one that the target reported, zero if none, and
 	// SlowdownAge is the age of that report.
@@ -215,7 +219,7 @@
 	Limit *limit.Named
 }
 
-// CauseHedge is the beginning of Grant.Cause in the grant of a hedge that Pool.Hedge returns.
+// CauseHedge is the beginning of Grant.Cause in the grant of a hedge that Pool.Hedge or Pool.Tick returns.
 const CauseHedge = "hedge"
 
 // Reasons of refusals, which also appear in metric labels and header values.
--- a/pkg/spec/document.go
+++ b/pkg/spec/document.go
@@ -53,6 +53,8 @@
 	ExtraAttemptShare float64
 	// ExtraBurst is the capacity of a host's token bucket for retries and hedges; zero means 20.
 	ExtraBurst float64
+	// HedgeShare is the largest number of early hedges as a fraction of the number of requests.
+	HedgeShare float64
 	// HedgeQuantile is the quantile of the service's latency after which an idempotent
 	// request is hedged; 1 turns hedging off.
 	HedgeQuantile float64
@@ -119,6 +121,7 @@
 		{Section: "Retries", Key: "AttemptsAtMost", Unit: "attempts", Default: "3", Allowed: "1 to 5", About: "Largest number of attempts of one request, the first included.", Set: Int(&d.AttemptsAtMost, 1, 5)},
 		{Section: "Retries", Key: "ExtraAttemptShare", Default: "0.06", Allowed: "0 to 0.5", About: "Largest number of retries and hedges as a fraction of the number of requests.", Set: Float(&d.ExtraAttemptShare, 0, 0.5)},
 		{Section: "Retries", Key: "ExtraBurst", Unit: "attempts", Default: "0", Allowed: "0 to 1000; 0 means 20", About: "Largest burst of retries and hedges of one entry host.", Set: Float(&d.ExtraBurst, 0, 1000)},
+		{Section: "Retries", Key: "HedgeShare", Default: "0", Allowed: "0 to 0.5; 0 sends none", About: "Largest number of second attempts, as a fraction of the number of requests, that the policy Speed sends for idempotent requests whose response would probably miss the latency objective. They count towards ExtraAttemptShare too.", Set: Float(&d.HedgeShare, 0, 0.5)},
 		{Section: "Retries", Key: "HedgeQuantile", Default: "0.95", Allowed: "0.5 to 1", About: "Quantile of the service's latency after which an idempotent request is hedged. 1 turns hedging off.", Set: Float(&d.HedgeQuantile, 0.5, 1)},
 		{Section: "Retries", Key: "BusyShare", Default: "0.9", Allowed: "0 to 1", About: "Fraction of busy slots above which no retries and hedges are sent.", Set: Float(&d.BusyShare, 0, 1)},
 	}
