--- a/pkg/choose/grantrate.go
+++ b/pkg/choose/grantrate.go
@@ -75,15 +75,15 @@
 	return max(all-before, minPriorityShare*all) / float64(grantRateDecay)
 }
 
-// earlierThan returns the rate at which requests of an earlier precedence were granted work
-// recently, in seconds of work per second.
-func (g *grantRate) earlierThan(now time.Time, of precedence) float64 {
+// owedRoomBy returns the rate at which the requests for which others of a precedence leave
+// room were granted work recently, in seconds of work per second.
+func (g *grantRate) owedRoomBy(now time.Time, of precedence) float64 {
 	g.decay(now)
-	earlier := 0.0
+	rate := 0.0
 	for _, level := range g.levels {
-		if level.precedence.compare(of.tracked()) < 0 {
-			earlier += level.work
+		if of.tracked().leavesRoomFor(level.precedence) {
+			rate += level.work
 		}
 	}
-	return earlier / float64(grantRateDecay)
+	return rate / float64(grantRateDecay)
 }
--- a/pkg/choose/order.go
+++ b/pkg/choose/order.go
@@ -36,6 +36,16 @@
 	return cmp.Or(cmp.Compare(a.standing, b.standing), cmp.Compare(a.organisation, b.organisation), cmp.Compare(a.route, b.route))
 }
 
+// leavesRoomFor reports whether requests leave room for others, which go before them. Within
+// the share of their organisation they do so only for more urgent routes: the time of the
+// targets that they get is theirs also while a higher rank sends more than usual.
+func (a precedence) leavesRoomFor(other precedence) bool {
+	if a.standing == within && a.organisation != other.organisation {
+		return false
+	}
+	return other.compare(a) < 0
+}
+
 // standingOf records a new request and returns the standing of its organisation.
 func (p *Pool) standingOf(now time.Time, r *pending) standing {
 	if r.Organisation != "" {
@@ -127,7 +137,7 @@
 	if slots == 0 {
 		return true
 	}
-	inUse := p.grantedWork.earlierThan(now, r.precedence) * float64(max(p.sharingHosts, 1)) / float64(slots)
+	inUse := p.grantedWork.owedRoomBy(now, r.precedence) * float64(max(p.sharingHosts, 1)) / float64(slots)
 	return float64(open) > min(roomShare*inUse, maxRoom)*float64(fast)
 }
 
--- a/pkg/choose/order_load_test.go
+++ b/pkg/choose/order_load_test.go
@@ -205,6 +205,32 @@
 	is.True(high.served() >= low.served())
 }
 
+// TestHighRankDoesNotPayForLowRank replays all organisations of the lower rank at 7.5 times
+// their usual. Those of the higher rank must be served nine tenths as often as without that.
+func TestHighRankDoesNotPayForLowRank(t *testing.T) {
+	is := is.New(t)
+	w := rosterDesk(2.2)
+	var surges []surge
+	for i := range w.organisations {
+		w.organisations[i].priority = i % 2
+		if i%2 == 1 {
+			surges = append(surges, surgeOf("", w.organisations[i].name, 7.5))
+		}
+	}
+	_, usual, _ := replayed(w, 3)
+	_, organisations, all := replayed(w.with(surges...), 3)
+	var high, highUsual classResult
+	for i, organisation := range w.organisations {
+		is.True(organisations[organisation.name].served() >= all.served()/4)
+		if i%2 == 0 {
+			high.add(organisations[organisation.name])
+			highUsual.add(usual[organisation.name])
+		}
+	}
+	t.Logf("high rank served %.3f, usually %.3f, all %.3f", high.served(), highUsual.served(), all.served())
+	is.True(high.served() >= 0.9*highUsual.served())
+}
+
 // TestOrdersAvoidFullQueues replays targets that end attempts without an answer while their
 // queue is full, at many hosts. Fewer than one order in a hundred may be left in doubt.
 func TestOrdersAvoidFullQueues(t *testing.T) {
