--- a/pkg/choose/replay_test.go
+++ b/pkg/choose/replay_test.go
@@ -194,12 +194,12 @@
 	byOrganisation map[string]*classResult
 	nextID         uint64
 	sends          int
+	// declined counts the attempts that targets declined.
+	declined int
 	// latencies are the times from the first try to the answers.
 	latencies []time.Duration
 	// returns are the times at which refused callers came back.
 	returns []time.Duration
-	// declined counts the attempts that targets declined.
-	declined int
 }
 
 func (s *simulation) schedule(d time.Duration, do func()) {
