choose, limit, entry: cold targets get their rate in full; sources of cold targets in the log

Cause: with the limit equal to the rate, the hosts together used 0.8 of what a cold target takes. In the log, targets taken as cold after an ejection had the source of the next statement, and each such assumption made the host send beacons at once.

Changes after an ejection have the source Errors and aren't announced; nor are those of beacons, which relays pass on anyway.

--- a/internal/entry/cold.go
+++ b/internal/entry/cold.go
@@ -19,6 +19,8 @@
 	maxColdMillis = 60 * 60 * 1000
 	// statedInList is the source of a change that follows from the list of targets.
 	statedInList = "List"
+	// assumedAfterErrors is the source of a change that follows from an ejection.
+	assumedAfterErrors = "Errors"
 )
 
 // recordCold applies what the answer to a probe states about the warm-up of a target.
@@ -34,10 +36,12 @@
 }
 
 // announceColdChanges logs the targets that have become cold or warm, and makes the beacon
-// loop tell other hosts; s.mu is held.
+// loop tell other hosts what targets have stated; s.mu is held.
 func (s *service) announceColdChanges(now time.Time, source string) {
 	for _, change := range s.pool.TakeColdChanges() {
-		s.daemon.sharing.announce()
+		if source == statedInProbe {
+			s.daemon.sharing.announce()
+		}
 		left := max(change.Until.Sub(now), 0)
 		s.daemon.platLog.Info("target became cold or warm", "Service", s.name, "Target", change.Target, "ColdMillis", left.Milliseconds(), "Source", source)
 		s.daemon.events.Add(event.Event{Kind: "TargetCold", Service: s.name, Target: change.Target, Cause: source})
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -302,6 +302,7 @@
 	now := time.Now()
 	s.deliverActions(s.pool.Finish(now, id, attempt, outcome))
 	s.announceLimitChanges(now, statedInAnswer)
+	s.announceColdChanges(now, assumedAfterErrors)
 }
 
 // retry requests another attempt from the pool and reports whether it is allowed.
@@ -414,6 +415,7 @@
 	}
 	s.deliverActions(s.pool.Probed(now, name, report))
 	s.announceLimitChanges(now, statedInProbe)
+	s.announceColdChanges(now, assumedAfterErrors)
 }
 
 func (s *service) close() {
--- a/pkg/choose/cold.go
+++ b/pkg/choose/cold.go
@@ -55,7 +55,7 @@
 		next.limiter = s.warmUp.limiter
 		if !wasCold {
 			next.limiter = limit.New(p.rng.ExpFloat64)
-			next.limiter.Receive(limit.State{PerSecond: max(p.settings.ColdPerSecond, limit.MinPerSecond), At: now})
+			next.limiter.Receive(limit.State{PerSecond: max(limit.FullUse(p.settings.ColdPerSecond), limit.MinPerSecond), At: now})
 		}
 		if !slices.Contains(p.cold, s) {
 			p.cold = append(p.cold, s)
--- a/pkg/limit/limiter.go
+++ b/pkg/limit/limiter.go
@@ -8,6 +8,8 @@
 	// more than 1.5 times the limit.
 	ownerShare  = 0.7
 	othersShare = 0.1
+	// maxRaise is the largest number of requests a second by which FullUse raises a limit.
+	maxRaise = 2
 	// ownerBurst is the number of requests that the owner may send at once after a pause.
 	ownerBurst = 2
 	// turnLength is the time for which a host may use its turn. It is short, so that few
@@ -17,6 +19,13 @@
 	maxTurnWait = 24 * time.Hour
 )
 
+// FullUse returns the limit of which the hosts use as much as perSecond while they agree on
+// its owner. While they don't, they exceed 1.5 times perSecond by less than eight requests in
+// a second, so it is for targets that bear such a burst.
+func FullUse(perSecond float64) float64 {
+	return min(perSecond/(ownerShare+othersShare), perSecond+maxRaise)
+}
+
 // Role is the part of a host in the use of a limit.
 type Role struct {
 	// IsOwner says that the host is the owner of the limit according to its own view.
