--- a/internal/entry/allotments.go
+++ b/internal/entry/allotments.go
@@ -134,32 +134,49 @@
 	}
 	answered := a.answered
 	a.mu.Unlock()
+	if verdict == allot.Waiting {
+		verdict = d.awaitTokens(ctx, key, started, answered)
+	}
+	switch verdict {
+	case allot.Admitted:
+		return bootTime(), nil
+	case allot.Refused:
+		return 0, d.refuseAllotment(request)
+	default:
+		return 0, fault.Wrap(ctx.Err(), fault.NotRun, http.StatusServiceUnavailable, "CallerGone")
+	}
+}
+
+// awaitTokens waits for the owner's answer on behalf of a request that arrived at a time, and
+// decides on it. The verdict is Waiting if the caller has gone. Answered is closed when tokens
+// arrive.
+func (d *Daemon) awaitTokens(ctx context.Context, key uint32, arrived time.Duration, answered <-chan struct{}) allot.Verdict {
+	a := d.allotments
 	timer := time.NewTimer(allotmentRetry)
 	defer timer.Stop()
-	for verdict == allot.Waiting {
+	for {
 		select {
 		case <-answered:
 		case <-timer.C:
 			timer.Reset(allotmentRetry)
 		case <-ctx.Done():
 			a.mu.Lock()
+			defer a.mu.Unlock()
 			a.spender.Abandon(key)
-			a.mu.Unlock()
-			return 0, fault.Wrap(ctx.Err(), fault.NotRun, http.StatusServiceUnavailable, "CallerGone")
+			return allot.Waiting
 		}
 		now := bootTime()
 		a.mu.Lock()
-		verdict = a.spender.Resume(now, key, a.spread, now-started >= allot.MaxWait)
+		verdict := a.spender.Resume(now, key, a.spread, now-arrived >= allot.MaxWait)
 		if verdict == allot.Waiting {
 			d.askForTokens(now, true)
 		}
 		answered = a.answered
 		a.mu.Unlock()
+		if verdict != allot.Waiting {
+			return verdict
+		}
 	}
-	if verdict == allot.Refused {
-		return 0, d.refuseAllotment(request)
-	}
-	return bootTime(), nil
 }
 
 // isLate reports whether an answer can't be within the latency objective any more, because
--- a/pkg/allot/owner.go
+++ b/pkg/allot/owner.go
@@ -17,6 +17,8 @@
 	regainAfter = 500 * time.Millisecond
 	// reachPause is the time after which the owner gives more when more hosts are alive.
 	reachPause = 1500 * time.Millisecond
+	// maxNumbers is the number of processes whose last questions are remembered.
+	maxNumbers = 4096
 	// aheadPart is the part of a bucket that hosts may have for later requests.
 	aheadPart = 0.5
 	// minWholeShare is the share from which an owner has at least one token.
@@ -126,6 +128,10 @@
 	if !o.isOwner || now < o.since+firstPause || ask.Number <= o.numbers[host] {
 		return Answer{}, false
 	}
+	if len(o.numbers) >= maxNumbers {
+		// Only the hosts of long ago are of no use, but an old question does little harm.
+		clear(o.numbers)
+	}
 	o.numbers[host] = ask.Number
 	answer := Answer{Number: ask.Number}
 	for _, d := range ask.Demands {
