--- a/internal/entry/allotments.go
+++ b/internal/entry/allotments.go
@@ -124,10 +124,10 @@
 	}
 	d, a := s.daemon, s.daemon.allotments
 	key := organisationKey(request.Organisation.Name)
-	isLate := s.isLate(request)
+	rank := allot.Request{Priority: request.Terms.Priority, IsLate: s.isLate(request)}
 	started := bootTime()
 	a.mu.Lock()
-	verdict := a.spender.Take(started, key, termsOf(request.Organisation), a.spread, isLate)
+	verdict := a.spender.Take(started, key, termsOf(request.Organisation), a.spread, rank)
 	d.askForTokens(started, verdict == allot.Waiting)
 	if verdict == allot.Waiting && a.ownerName == d.settings.Name {
 		verdict = a.spender.Resume(started, key, a.spread, false)
--- a/pkg/allot/bench_test.go
+++ b/pkg/allot/bench_test.go
@@ -19,7 +19,7 @@
 	now := time.Second
 	for b.Loop() {
 		now += time.Millisecond
-		if spender.Take(now, 1, terms, spread, false) == allot.Waiting {
+		if spender.Take(now, 1, terms, spread, allot.Request{}) == allot.Waiting {
 			ask, _ := spender.Ask(now)
 			answer, _ := owner.Answer(now, "entry1", ask, func(uint32) (allot.Terms, bool) { return terms, true })
 			spender.Receive(now, answer)
--- a/pkg/allot/spender.go
+++ b/pkg/allot/spender.go
@@ -32,7 +32,7 @@
 	// maxDryPause is the longest time for which requests without a token are refused at once
 	// after the owner has had too few.
 	maxDryPause = 150 * time.Millisecond
-	// scarcePause is the time for which late requests are refused then.
+	// scarcePause is the time for which only urgent requests get tokens then.
 	scarcePause = time.Second
 	// demandMemory is the time over which the demand is averaged.
 	demandMemory = time.Second
@@ -122,12 +122,12 @@
 	// waiting is the number of requests that wait, and askedFor that at the last question
 	// which had no token yet.
 	waiting, askedFor int
-	// demand is the number of requests a second at demandAt, averaged.
-	demand   float64
-	demandAt time.Duration
+	// demand are the requests that arrive.
+	demand  average
+	urgency urgency
 	// dryUntil is the end of the time in which requests are refused at once.
 	dryUntil time.Duration
-	// scarceUntil is the end of the time in which late requests are refused.
+	// scarceUntil is the end of the time in which only urgent requests get tokens.
 	scarceUntil time.Duration
 	reserve     reserve
 }
@@ -137,28 +137,39 @@
 	until  time.Duration
 }
 
-// Take decides on a request that arrives. If it has to wait, Resume must be called for it later. A late
-// request, whose answer is worth less, gets no token while these are scarce.
-func (s *Spender) Take(now time.Duration, key uint32, terms Terms, spread Spread, isLate bool) Verdict {
+// Take decides on a request that arrives. If it has to wait, Resume must be called for it
+// later. While tokens are scarce, the most urgent requests get them, and late ones get none.
+func (s *Spender) Take(now time.Duration, key uint32, terms Terms, spread Spread, request Request) Verdict {
 	p := s.purse(now, key, terms)
-	p.demand = p.demandNow(now) + 1/demandMemory.Seconds()
-	p.demandAt = now
-	size := spread.reserve(terms)
+	p.demand.add(now)
+	isUrgent := !request.IsLate && p.urgency.allows(now, request.Priority, s.draw)
+	verdict := s.take(now, p, spread, isUrgent)
+	switch verdict {
+	case Admitted:
+		p.urgency.admitted.add(now)
+	case Waiting:
+		p.waiting++
+	case Refused:
+	}
+	return verdict
+}
+
+func (s *Spender) take(now time.Duration, p *purse, spread Spread, isUrgent bool) Verdict {
+	size := spread.reserve(p.terms)
 	if !s.IsSilent(now) {
 		size *= ordinaryPart
 	}
 	switch {
-	case isLate && now < p.scarceUntil:
+	case !isUrgent && now < p.scarceUntil:
 		return Refused
 	case p.take(now):
 		return Admitted
-	case (p.demand <= lowDemand || s.IsSilent(now)) && p.reserve.take(now, size, s.draw):
+	case (p.demand.now(now) <= lowDemand || s.IsSilent(now)) && p.reserve.take(now, size, s.draw):
 		s.reserved++
 		return Admitted
 	case s.IsSilent(now) || now < p.dryUntil:
 		return s.refuse(now, p, spread)
 	default:
-		p.waiting++
 		return Waiting
 	}
 }
@@ -179,6 +190,9 @@
 	if verdict != Waiting {
 		p.waiting--
 	}
+	if verdict == Admitted {
+		p.urgency.admitted.add(now)
+	}
 	return verdict
 }
 
@@ -259,7 +273,7 @@
 func (s *Spender) demands(now time.Duration) (demands []Demand, isUrgent bool) {
 	isNeeded := false
 	for key, p := range s.purses {
-		if now-p.demandAt > forgetAfter && p.waiting == 0 {
+		if now-p.demand.at > forgetAfter && p.waiting == 0 {
 			delete(s.purses, key)
 			continue
 		}
@@ -268,7 +282,7 @@
 		}
 		held := p.held(now)
 		// A single request is no reason to expect more.
-		target := min(int(max(p.demandNow(now)*horizon.Seconds()-1, 0)), maxHeld)
+		target := min(int(max(p.demand.now(now)*horizon.Seconds()-1, 0)), maxHeld)
 		d := Demand{Key: key, Held: held, Waiting: min(max(p.waiting-held, 0), maxHeld), Ahead: max(target-held, 0)}
 		isUrgent = isUrgent || d.Waiting > 0
 		isNeeded = isNeeded || d.Waiting > 0 || d.Ahead > held
@@ -333,20 +347,20 @@
 func (s *Spender) purse(now time.Duration, key uint32, terms Terms) *purse {
 	p := s.purses[key]
 	if p == nil {
-		p = &purse{terms: terms, demandAt: now}
+		p = &purse{terms: terms}
 		s.purses[key] = p
 	}
-	if terms.isLowerThan(p.terms) {
+	switch {
+	case terms == p.terms:
+	case terms.isLowerThan(p.terms):
 		p.batches = nil
+	default:
+		p.dryUntil, p.scarceUntil = 0, 0
 	}
 	p.terms = terms
 	return p
 }
 
-func (p *purse) demandNow(now time.Duration) float64 {
-	return p.demand * math.Exp(-max(now-p.demandAt, 0).Seconds()/demandMemory.Seconds())
-}
-
 // held drops expired tokens, and returns the number of those left.
 func (p *purse) held(now time.Duration) int {
 	total := 0
