--- a/pkg/allot/doc.go
+++ b/pkg/allot/doc.go
@@ -12,6 +12,9 @@
 // first requests after all hosts have been restarted, those between the failure of an
 // owner and its replacement, and those of hosts that are cut off.
 //
+// The load pattern that it answers is an organisation that sends many times its allotment.
+// Its tokens then go to its most urgent requests, and the others are refused at once.
+//
 // Hosts may disagree about the owner. An owner that reaches only some of the hosts that it
 // knows has that part of the inflow, and one that has just become the owner, or was paused,
 // begins with an empty bucket after a while.
--- a/pkg/allot/model_test.go
+++ b/pkg/allot/model_test.go
@@ -544,6 +544,7 @@
 			send(now, i%2 == 0)
 		}
 	}
+	t.Logf("served while scarce: %v", served)
 	is.True(served[false] > 850)
 	is.True(served[true] < 50)
 	for now := 12 * time.Second; now < 14*time.Second; now += 20 * time.Millisecond {
--- a/pkg/allot/spender.go
+++ b/pkg/allot/spender.go
@@ -142,7 +142,7 @@
 func (s *Spender) Take(now time.Duration, key uint32, terms Terms, spread Spread, request Request) Verdict {
 	p := s.purse(now, key, terms)
 	p.demand.add(now)
-	isUrgent := !request.IsLate && p.urgency.allows(now, request.Priority, s.draw)
+	isUrgent := !request.IsLate && p.urgency.allows(now, request.Priority, spread.evenPart(terms), s.draw)
 	verdict := s.take(now, p, spread, isUrgent)
 	switch verdict {
 	case Admitted:
--- a/pkg/allot/terms.go
+++ b/pkg/allot/terms.go
@@ -67,6 +67,14 @@
 	IsSteered bool
 }
 
+// evenPart is this host's part of the inflow if all hosts that callers use have the same.
+func (s Spread) evenPart(t Terms) float64 {
+	if s.IsSteered {
+		return t.inflow() / float64(max(s.Steered, 1))
+	}
+	return t.inflow() / float64(max(s.Known, 1))
+}
+
 // reserve is the number of requests in a window for which this host needs no token.
 func (s Spread) reserve(t Terms) float64 {
 	all := reservePart * t.beyondInflow()
--- a/pkg/allot/urgent.go
+++ b/pkg/allot/urgent.go
@@ -55,8 +55,9 @@
 	demand   average
 }
 
-// allows counts a request, and reports whether it may take a scarce token.
-func (u *urgency) allows(now time.Duration, priority int, draw func() float64) bool {
+// allows counts a request, and reports whether it may take a scarce token. At least as many
+// requests may as evenPart, the host's part if all hosts get the same number of tokens.
+func (u *urgency) allows(now time.Duration, priority int, evenPart float64, draw func() float64) bool {
 	i, found := slices.BinarySearchFunc(u.ranks, priority, func(r rank, p int) int { return cmp.Compare(r.priority, p) })
 	if !found && len(u.ranks) >= maxRanks {
 		return true
@@ -65,7 +66,7 @@
 		u.ranks = slices.Insert(u.ranks, i, rank{priority: priority})
 	}
 	u.ranks[i].demand.add(now)
-	room := scarceMargin * u.admitted.now(now)
+	room := scarceMargin * max(u.admitted.now(now), evenPart)
 	for j := range i {
 		room -= u.ranks[j].demand.now(now)
 	}
