--- a/pkg/allot/spender.go
+++ b/pkg/allot/spender.go
@@ -140,7 +140,7 @@
 // Take decides on a request that arrives. If it has to wait, Resume must be called for it
 // later. While tokens are scarce, the most urgent requests get them, and late ones get none.
 func (s *Spender) Take(now time.Duration, key uint32, terms Terms, spread Spread, request Request) Verdict {
-	p := s.purse(now, key, terms)
+	p := s.purse(key, terms)
 	p.demand.add(now)
 	isUrgent := !request.IsLate && p.urgency.allows(now, request.Priority, spread.evenPart(terms), s.draw)
 	verdict := s.take(now, p, spread, isUrgent)
@@ -344,7 +344,7 @@
 	return total
 }
 
-func (s *Spender) purse(now time.Duration, key uint32, terms Terms) *purse {
+func (s *Spender) purse(key uint32, terms Terms) *purse {
 	p := s.purses[key]
 	if p == nil {
 		p = &purse{terms: terms}
