front, platform: lookups and readiness are answered when no more may be held

A crowd that used up the bytes would have made the host look unready, and kept callers from finding others. The auxiliary servers share the bound on connections and heads only.

--- a/internal/front/gate.go
+++ b/internal/front/gate.go
@@ -125,8 +125,9 @@
 }
 
 // Follow makes a server tell the gate of its connections and requests. It must be called
-// once, after Tracker.Follow and before the server serves a listener of Guard.
-// refuse answers a request for which there is no room.
+// once, after Tracker.Follow and before the server serves a listener of Guard. Requests for
+// which there is no room are answered by refuse. If it is nil, as for a server of small
+// answers, nothing is counted for requests whose head is whole.
 func (g *Gate) Follow(server *http.Server, refuse RefuseFunc) {
 	next := server.ConnState
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
@@ -143,7 +144,9 @@
 		}
 		return ctx
 	}
-	server.Handler = g.withAccount(server.Handler, refuse)
+	if refuse != nil {
+		server.Handler = g.withAccount(server.Handler, refuse)
+	}
 }
 
 // RefuseFunc answers a request that was refused before a handler got it.
