--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -54,6 +54,9 @@
 	// rescued is set once the rescue timer has fired, even if no attempt was sent for it.
 	rescued     bool
 	firstSentAt time.Time
+	// routesReplaced is closed when the key of the request must be checked again. It is nil
+	// for a request without an organisation.
+	routesReplaced <-chan struct{}
 	// mayHaveRun is set once an attempt has ended with a verdict other than NotRun.
 	mayHaveRun bool
 }
@@ -125,6 +128,13 @@
 		arrival.Priority = request.Terms.Priority
 		arrival.Objective = request.Terms.Objective
 	}
+	if request.Organisation != nil {
+		arrival.Organisation = request.Organisation.Name
+		arrival.OrganisationPriority = request.Organisation.Priority
+	}
+	if failed := r.checkKey(); failed != nil {
+		return failed
+	}
 	r.decisions = s.arrive(arrival)
 	defer r.release()
 	won, failed := r.loop(ctx)
@@ -175,11 +185,13 @@
 	for {
 		select {
 		case d := <-r.decisions:
-			if d.refusal == "" {
-				r.startAttempt(ctx, d.grant, hedge, rescue)
-			} else if r.running == 0 {
-				// A refusal while another attempt is running has no effect.
-				return nil, r.refusalFault(d.refusal).WithRetryAfter(d.retryAfter)
+			if failed := r.handleDecision(ctx, d, hedge, rescue); failed != nil {
+				return nil, failed
+			}
+		case <-r.routesReplaced:
+			// An attempt that is running may end. No further one is started without a key.
+			if failed := r.checkKey(); failed != nil && r.running == 0 {
+				return nil, failed
 			}
 		case result := <-r.results:
 			r.running--
@@ -200,6 +212,28 @@
 	}
 }
 
+// handleDecision starts an attempt that the pool granted, unless its key was taken away. The
+// result is nil unless the request has failed: without another attempt that is running,
+// after a refusal or for its key.
+func (r *activeRequest) handleDecision(ctx context.Context, d decision, hedge, rescue *time.Timer) *fault.Error {
+	var failed *fault.Error
+	if d.refusal != "" {
+		if r.running == 0 {
+			failed = r.refusalFault(d.refusal).WithRetryAfter(d.retryAfter)
+		}
+		return failed
+	}
+	if failed = r.checkKey(); failed == nil {
+		r.startAttempt(ctx, d.grant, hedge, rescue)
+		return nil
+	}
+	r.service.returnGrant(r.id, d.grant)
+	if r.running > 0 {
+		return nil
+	}
+	return failed
+}
+
 func newStoppedTimer() *time.Timer {
 	timer := time.NewTimer(time.Hour)
 	timer.Stop()
@@ -293,6 +327,9 @@
 func (s *service) sendAttempt(ctx context.Context, client *target.Client, grant choose.Grant, outgoing *target.Request) *attemptResult {
 	sentAt := time.Now()
 	result := &attemptResult{attempt: grant.Attempt, target: grant.Target}
+	outgoing.OnStated = func(info target.ResponseInfo) {
+		s.recordHoldOff(grant.Target, grant.TargetStartedAt, info.HoldOff, statedInAnswer)
+	}
 	answer, err := client.Do(ctx, outgoing)
 	if err != nil {
 		result.err = route.AsFault(err)
@@ -416,12 +453,19 @@
 // finalFault returns the error of a request whose last attempt failed, or nil if the
 // target's own answer is to be sent to the caller.
 func (r *activeRequest) finalFault(result *attemptResult) *fault.Error {
+	if verdictOf(result) == fault.NotRun {
+		// Without a key, the caller need not try again.
+		if failed := r.checkKey(); failed != nil {
+			return failed
+		}
+	}
 	if result.err != nil {
 		return result.err
 	}
 	if r.request.Terms != nil && result.answer.Verdict == fault.NotRun {
 		// The target declined this attempt. The caller may retry at once, since another target may accept the request.
-		return r.withEarlierAttempts(fault.New(fault.NotRun, http.StatusServiceUnavailable, "TargetDeclined"))
+		// Only if all targets hold off this host, a time is known.
+		return r.withEarlierAttempts(fault.New(fault.NotRun, http.StatusServiceUnavailable, "TargetDeclined")).WithRetryAfter(r.service.holdOffWait())
 	}
 	return nil
 }
@@ -433,7 +477,7 @@
 // can only go on waiting.
 func (r *activeRequest) rescue() {
 	r.rescued = true
-	r.service.suspect(r.id, r.firstSentAt)
+	r.service.suspect(r.id, r.firstSentAt, r.firstTarget())
 	if !r.request.IsIdempotent() {
 		return
 	}
@@ -443,6 +487,14 @@
 	}
 }
 
+// firstTarget returns the target of the first attempt; empty if none was sent.
+func (r *activeRequest) firstTarget() string {
+	if first, found := r.attempts[1]; found {
+		return first.grant.Target
+	}
+	return ""
+}
+
 // writeAnswer sends the winning answer to the caller. The error is nil or route.ErrTruncated.
 func (r *activeRequest) writeAnswer(w http.ResponseWriter, won *attemptResult) error {
 	answer := won.answer
--- a/pkg/choose/attempt.go
+++ b/pkg/choose/attempt.go
@@ -79,6 +79,7 @@
 	if p.settings.Policy == spec.PolicySpeed {
 		p.learnFromOutcome(now, p.requests[id], number, outcome)
 	}
+	p.observeFullQueue(now, &p.requests[id].attempts[number-1], outcome)
 	p.observeLimit(now, &p.requests[id].attempts[number-1], outcome)
 	if outcome.Report != nil {
 		s.recordReport(now, *outcome.Report)
@@ -183,6 +184,8 @@
 	}
 	if remaining >= 1 && remaining*usableTargetsDivisor >= len(p.targets) {
 		s.eject(now, cause)
+		// It may be down, and start again.
+		p.assumeCold(now, s.ejectedUntil, s)
 		p.ejected = append(slices.DeleteFunc(p.ejected, func(o *targetState) bool { return o == s }), s)
 	}
 }
--- a/pkg/choose/doc.go
+++ b/pkg/choose/doc.go
@@ -75,6 +75,10 @@
 // Targets that it doesn't allow are left out of the choice. If all usable targets name
 // limits, requests that would be late by the time they are allowed are refused.
 //
+// A target may hold off one host, which then sends it nothing for the time that the target
+// has named, and returns gently. Until a target is known to be warm, all hosts together send
+// it no more than [Settings].ColdPerSecond, again by package limit.
+//
 // # Policies
 //
 // The policy of the service determines which target a request is sent to:
@@ -96,6 +100,13 @@
 // target for each request on arrival. They are baselines for comparison. All policies
 // but Speed use spares only if no held target is usable.
 //
+// # Organisations
+//
+// An organisation has a share of the time of the targets, which its usual requests
+// determine. Its requests within that share go before those of others beyond theirs. From
+// the first request on that has an organisation, the policy Speed grants requests in the
+// order that order.go states.
+//
 // # Use
 //
 // A [Pool] is a state machine without goroutines, timers and I/O. The entry host passes
--- a/pkg/choose/pool.go
+++ b/pkg/choose/pool.go
@@ -43,6 +43,8 @@
 	spent time.Duration
 	// endsWithStop is set if Deadline is the end of the stop of the host.
 	endsWithStop bool
+	// precedence is the place of the request among those that wait.
+	precedence precedence
 	// wasTimely is set if the waiting request could still meet its objective at the last check.
 	wasTimely bool
 }
@@ -60,6 +62,9 @@
 	wasSlow bool
 	// wasFull is set if no slot of the target was free after the attempt was sent.
 	wasFull bool
+	// slowdownAfter is the slowdown in the first report after the attempt was sent, zero before.
+	// Only early hedges need it.
+	slowdownAfter float64
 	// suspect is set if the connection may be dead. The attempt no longer occupies a slot then.
 	suspect bool
 }
@@ -82,6 +87,8 @@
 	latencies *latencyStats
 	// extraBudget is the token bucket for extra attempts.
 	extraBudget *budget.RetryBudget
+	// hedgeBudget is the token bucket for early hedges.
+	hedgeBudget *budget.RetryBudget
 	wastedWork  wastedWork
 	rng         *rand.Rand
 	// rotation counts the choices of the policy RoundRobin.
@@ -97,8 +104,9 @@
 	waitAcceptableAt time.Time
 	// overloaded is set from the detection of an overload until the queue is empty.
 	overloaded bool
-	// scratch, candidates and choices are reused by every choice to avoid allocations.
+	// scratch, candidates, ranking and choices are reused by every choice to avoid allocations.
 	scratch    []*targetState
+	ranking    []ranked
 	candidates []candidate
 	choices    map[string]choice
 	// byName indexes targets.
@@ -142,6 +150,12 @@
 	usedByHost map[string][]*targetState
 	// limited are the targets that name a limit or have named one recently.
 	limited []*targetState
+	// evacuated are the failure domains whose targets get nothing.
+	evacuated map[string]bool
+	// cold are the targets that aren't known to be warm or have become so recently, and
+	// coldChanges the changes since the last call of TakeColdChanges.
+	cold        []*targetState
+	coldChanges []ColdState
 	// departures are the targets that have said that they leave, by name, and
 	// departureChanges those since the last call of TakeDepartureChanges.
 	departures       map[string]departure
@@ -153,6 +167,11 @@
 	// knownHosts is the number of entry hosts that this host knows, itself included, and
 	// aliveHosts is the number of those that are alive.
 	knownHosts, aliveHosts int
+	// accounts are those of the organisations, and hasOrganisations is set once a request has had one.
+	accounts         accounts
+	hasOrganisations bool
+	// fullQueueAt is when a target last ended an attempt at once without an answer.
+	fullQueueAt time.Time
 	// otherDomainUsedAt is when a request was last sent to a target in another failure domain.
 	otherDomainUsedAt time.Time
 }
@@ -179,8 +198,10 @@
 		aliveHosts:         1,
 		usedByHost:         make(map[string][]*targetState),
 		departures:         make(map[string]departure),
+		accounts:           newAccounts(now),
 	}
 	p.extraBudget = budget.NewRetryBudget(settings.ExtraAttemptShare, p.extraAttemptBurst())
+	p.hedgeBudget = p.newHedgeBudget()
 	return p
 }
 
@@ -190,6 +211,7 @@
 // called.
 func (p *Pool) SetSettings(settings Settings, now time.Time) Actions {
 	isBudgetChanged := settings.ExtraAttemptShare != p.settings.ExtraAttemptShare || settings.ExtraBurst != p.settings.ExtraBurst
+	isHedgeShareChanged := settings.HedgeShare != p.settings.HedgeShare
 	p.latencies.hedgeQuantile = settings.HedgeQuantile
 	for _, s := range p.targets {
 		if s.Slots == 0 && s.limit >= p.settings.Slots {
@@ -198,6 +220,9 @@
 	}
 	p.settings = settings
 	p.recountTargets()
+	if isHedgeShareChanged {
+		p.hedgeBudget = p.newHedgeBudget()
+	}
 	if isBudgetChanged {
 		p.extraBudget = budget.NewRetryBudget(settings.ExtraAttemptShare, p.extraAttemptBurst())
 	}
@@ -213,10 +238,14 @@
 	p.held = p.held[:0]
 	for _, t := range targets {
 		s := p.find(t.Name)
-		if s == nil {
+		isNew := s == nil
+		if isNew {
 			s = newTargetState(t, p.initialLimit(t), now)
 		}
+		before := s.Target
 		s.Target = t
+		s.evacuated = p.evacuated[t.FailureDomain]
+		p.learnListedCold(now, s, before, isNew)
 		next = append(next, s)
 		byName[t.Name] = s
 		if !t.Spare {
@@ -278,10 +307,12 @@
 // Release must be called at the end of the request, also after a refusal.
 func (p *Pool) Arrive(now time.Time, request Request) Actions {
 	p.extraBudget.Earn()
+	p.hedgeBudget.Earn()
 	if request.AttemptsAtMost == 0 {
 		request.AttemptsAtMost = p.settings.AttemptsAtMost
 	}
 	r := &pending{Request: request, arrived: now}
+	r.precedence = precedence{standing: within, organisation: r.OrganisationPriority, route: r.Priority}
 	p.refreshDepartures(now)
 	if !p.hasActiveTarget() {
 		return refuse(request.ID, ReasonNoTarget)
@@ -299,6 +330,9 @@
 	if refusal, isRefused := p.refuseByLimit(now, r, p.waiting.len()); isRefused {
 		return Actions{Refusals: []Refusal{refusal}}
 	}
+	if refusal, isRefused := p.refuseByHoldOff(now, r); isRefused {
+		return Actions{Refusals: []Refusal{refusal}}
+	}
 	if maxWait := p.maxWait(now, r); p.waiting.len() > 0 && p.expectedWait() > maxWait {
 		return refuse(request.ID, ReasonQueueFull)
 	}
@@ -363,6 +397,7 @@
 		return p.dispatchBySpeed(now)
 	}
 	actions := p.expireByLimit(now)
+	actions.Refusals = append(actions.Refusals, p.expireByHoldOff(now).Refusals...)
 	for r := p.waiting.first(); r != nil; r = p.waiting.first() {
 		if !now.Add(p.latencies.median / 2).Before(r.Deadline) {
 			p.waiting.remove(r.ID)
@@ -383,6 +418,9 @@
 // grant records an attempt of a request at a target and returns its grant.
 func (p *Pool) grant(now time.Time, r *pending, target *targetState, cause string) Grant {
 	target.startAttempt(now)
+	if p.hasOrganisations && len(r.attempts) == 0 {
+		p.accounts.grant(now, r.Organisation)
+	}
 	p.spendLimit(now, target)
 	p.inFlight++
 	p.markObserved(target)
@@ -412,6 +450,7 @@
 // ejection or when a report of foreign load expires. Under policies other than Speed, it
 // checks no request behind the first one that must keep waiting.
 func (p *Pool) Tick(now time.Time) Actions {
+	p.accounts.forget(now)
 	actions := p.expireByStop(now)
 	if p.settings.Policy == spec.PolicySpeed {
 		expired := p.expireBySpeed(now)
@@ -420,6 +459,9 @@
 	granted := p.dispatch(now)
 	actions.Grants = granted.Grants
 	actions.Refusals = append(actions.Refusals, granted.Refusals...)
+	if p.settings.Policy == spec.PolicySpeed && p.settings.HedgeShare > 0 {
+		actions.Grants = append(actions.Grants, p.hedgeEarly(now).Grants...)
+	}
 	return actions
 }
 
--- a/pkg/choose/speed.go
+++ b/pkg/choose/speed.go
@@ -62,6 +62,12 @@
 	return spent
 }
 
+// CanMeetObjective reports whether an answer to a request that arrives now can be within its
+// objective, which counts from the caller's first try. It does not change the pool.
+func (p *Pool) CanMeetObjective(class string, patience, objective time.Duration) bool {
+	return patience == 0 || objective == 0 || p.longestPatience[class]-patience < objective
+}
+
 // candidate is a target with the forecast of one more request. It may be compared for
 // several requests of one dispatch.
 type candidate struct {
@@ -99,7 +105,7 @@
 func (p *Pool) addCandidates(now time.Time, c *comparison, accepts func(s *targetState) bool) {
 	for _, s := range p.targets {
 		switch {
-		case !accepts(s):
+		case !accepts(s) || s.isHeldOff(now):
 		case p.limitAllows(now, s):
 			c.candidates = append(c.candidates, p.candidate(now, s))
 		default:
@@ -110,7 +116,7 @@
 
 func (p *Pool) candidate(now time.Time, s *targetState) candidate {
 	occupancy := s.occupancy(now)
-	isOpen := p.isOpen(s, occupancy) && p.limitAllows(now, s)
+	isOpen := p.isOpen(s, occupancy) && p.limitAllows(now, s) && p.hasOwnRoom(now, s)
 	return candidate{targetState: s, forecast: p.forecast(now, s, occupancy), open: isOpen}
 }
 
@@ -205,14 +211,18 @@
 // it late or no target could meet its deadline.
 func (p *Pool) arriveBySpeed(now time.Time, r *pending) Actions {
 	r.spent = p.spentBefore(r)
+	r.precedence.standing = p.standingOf(now, r)
 	if refusal, isRefused := p.refuseByLimit(now, r, p.waitingBefore(r)); isRefused {
 		return Actions{Refusals: []Refusal{refusal}}
 	}
+	if refusal, isRefused := p.refuseByHoldOff(now, r); isRefused {
+		return Actions{Refusals: []Refusal{refusal}}
+	}
 	if wait := p.queueingDelay(now, r); wait > 0 && p.becomesLate(now, wait, r) {
 		if p.canMeetObjective(now, r) {
 			p.contendedAt = now
 		}
-		return Actions{Refusals: []Refusal{{Request: r.ID, Reason: ReasonQueueFull, RetryAfter: wait}}}
+		return Actions{Refusals: []Refusal{{Request: r.ID, Reason: ReasonQueueFull, RetryAfter: p.returnAfter(now, wait, r)}}}
 	}
 	if p.missesDeadline(now, r) {
 		return refuse(r.ID, r.deadlineReason())
@@ -232,16 +242,16 @@
 	}
 	ahead := time.Duration(0)
 	for other := range p.waiting.all {
-		if other.Priority <= r.Priority && p.canMeetObjective(now, other) {
+		if other.precedence.compare(r.precedence) <= 0 && p.canMeetObjective(now, other) {
 			ahead += p.fastLatency(other)
 		}
 	}
 	slots, limitedSlots := 0, 0.0
 	for _, s := range p.targets {
 		switch {
-		case s.isLeaving() || s.estimate.expectedSlowdown(now, p.meanSlowdown) > fastSlowdown:
-		case s.hasLimit():
-			_, perSecond := s.limiter.Supply(now, p.limitRole(s))
+		case s.isLeaving() || s.isHeldOff(now) || s.estimate.expectedSlowdown(now, p.meanSlowdown) > fastSlowdown:
+		case s.hasLimit() || s.isCold(now):
+			_, perSecond, _ := p.supplyOf(now, s)
 			limitedSlots += min(perSecond*p.work(r).Seconds(), float64(p.usefulSlots(s)))
 		default:
 			slots += p.usefulSlots(s)
@@ -251,7 +261,7 @@
 	if rate == 0 {
 		rate = 1 / float64(max(p.sharingHosts, 1))
 	}
-	measured := p.grantedWork.availableTo(now, r.Priority)
+	measured := p.grantedWork.availableTo(now, r.precedence)
 	return time.Duration(float64(ahead) / max(min(rate, measured), minGrantRateShare*rate))
 }
 
@@ -318,10 +328,14 @@
 	var actions Actions
 	if p.waiting.len() > 0 {
 		c := p.compare(now)
-		p.dispatchGroup(now, &c, ample, &actions)
-		p.dispatchGroup(now, &c, tight, &actions)
-		p.updateContention(now)
-		p.dispatchGroup(now, &c, late, &actions)
+		if p.hasOrganisations {
+			p.dispatchByOrder(now, &c, &actions)
+		} else {
+			p.dispatchGroup(now, &c, ample, &actions)
+			p.dispatchGroup(now, &c, tight, &actions)
+			p.updateContention(now)
+			p.dispatchGroup(now, &c, late, &actions)
+		}
 	}
 	p.updateLoad(now)
 	return actions
@@ -376,7 +390,7 @@
 	sent := &r.attempts[len(r.attempts)-1]
 	sent.expectedLatency = chosen.latency
 	sent.wasSlow = chosen.target.isSlow()
-	p.grantedWork.add(now, r.Priority, p.work(r))
+	p.grantedWork.add(now, r.precedence, p.work(r))
 	if len(chosen.target.attemptTimes) == 1 {
 		chosen.target.estimate.oldestExpectedLatency = chosen.latency
 	}
@@ -404,6 +418,7 @@
 // still meet their objective, it refuses late ones too.
 func (p *Pool) expireBySpeed(now time.Time) Actions {
 	actions := p.expireByLimit(now)
+	actions.Refusals = append(actions.Refusals, p.expireByHoldOff(now).Refusals...)
 	timely := 0
 	for r := range p.waiting.all {
 		if p.canMeetObjective(now, r) {
@@ -417,7 +432,7 @@
 			actions.Refusals = append(actions.Refusals, Refusal{Request: r.ID, Reason: r.deadlineReason()})
 		case timely > 0 && !p.canMeetObjective(now, r):
 			p.waiting.remove(r.ID)
-			actions.Refusals = append(actions.Refusals, Refusal{Request: r.ID, Reason: ReasonQueueFull})
+			actions.Refusals = append(actions.Refusals, Refusal{Request: r.ID, Reason: ReasonQueueFull, RetryAfter: p.returnAfter(now, 0, r)})
 		}
 	}
 	return actions
--- a/pkg/choose/target.go
+++ b/pkg/choose/target.go
@@ -76,12 +76,16 @@
 	draining bool
 	// departing is set if the target has said that it leaves, unless it is the last resort.
 	departing bool
+	// evacuated is set while the failure domain of the target is evacuated.
+	evacuated bool
 	// lastGrant is the sequence number of the last grant to the target.
 	lastGrant uint64
 	// removed is set if the target is no longer in Pool.targets, observed if it is in Pool.observed.
 	removed, observed bool
 
 	estimate targetEstimate
+	holdOff  holdOff
+	warmUp   warmUp
 	// limiter is nil until the target names a limit.
 	limiter *limit.Limiter
 	// rejections are the shares of answers with a client error, by class. A class without an
@@ -189,7 +193,9 @@
 	s.lastLatencyAt = now
 	s.lastContact = now
 	s.errorsInRow = 0
-	s.limit = min(s.limit+1, slots)
+	if !s.isHeldOff(now) {
+		s.limit = min(s.limit+1, slots)
+	}
 	if slowThreshold > 0 && latency > slowThreshold {
 		s.slowInRow++
 		return
@@ -218,10 +224,11 @@
 }
 
 func (s *targetState) acceptsWork(now time.Time) bool {
-	return !s.isLeaving() && !s.isEjected(now)
+	return !s.isLeaving() && !s.isEjected(now) && !s.isHeldOff(now)
 }
 
-// isLeaving reports whether the target is to get no new requests because it will end.
+// isLeaving reports whether the target is to get no new requests because it will end or its
+// failure domain is evacuated.
 func (s *targetState) isLeaving() bool {
-	return s.Leaving || s.draining || s.departing
+	return s.Leaving || s.draining || s.departing || s.evacuated
 }
--- a/pkg/choose/types.go
+++ b/pkg/choose/types.go
@@ -25,6 +25,10 @@
 	// 1 turns hedging off. The policy Speed derives the delay from the expected latency
 	// instead, and only checks that hedging is on.
 	HedgeQuantile float64
+	// HedgeShare is the largest number of early hedges as a share of the number of requests;
+	// zero turns them off. They spend from the budget of ExtraAttemptShare too. Only the policy
+	// Speed sends them.
+	HedgeShare float64
 	// BusyShare is the smoothed share of busy slots above which no extra attempts are made.
 	// Each waiting request counts as a busy slot.
 	BusyShare float64
@@ -40,6 +44,11 @@
 	BurstHosts int
 	// ChargeRescues makes rescues spend from the budget of extra attempts.
 	ChargeRescues bool
+	// ColdPerSecond is the number of requests a second that a cold target takes from all entry
+	// hosts together; zero means that cold targets have no such limit.
+	ColdPerSecond float64
+	// ColdTime is how long a target stays cold after its start.
+	ColdTime time.Duration
 }
 
 // Target describes a target that the pool may use.
@@ -85,6 +94,12 @@
 	// Priority orders waiting requests. Lower values are granted first, and zero is the most urgent.
 	// The policy Speed first compares how likely the requests are to meet their objective.
 	Priority int
+	// OrganisationPriority is the rank of the caller's organisation. It goes before Priority,
+	// lower values first. It is zero without an organisation.
+	OrganisationPriority int
+	// Organisation is the name of the caller's organisation; empty if there is none. From the
+	// first request that has one, the policy Speed orders requests by their organisations too.
+	Organisation string
 	// Patience is the time limit that the caller sent with this try of the request;
 	// zero means none. Deadline may be earlier because of other limits.
 	Patience time.Duration
@@ -109,7 +124,7 @@
 	// is no answer; zero while the latency of the service is unknown.
 	SuspectAfter time.Duration
 	// Cause describes why this target was chosen. It begins with CauseHedge for a
-	// hedge that Pool.Hedge returns, but not for one that has waited in the queue.
+	// hedge that Pool.Hedge or Pool.Tick returns, but not for one that has waited in the queue.
 	Cause string
 	// Slowdown is the last one that the target reported, zero if none, and
 	// SlowdownAge is the age of that report.
@@ -207,7 +222,7 @@
 	Limit *limit.Named
 }
 
-// CauseHedge is the beginning of Grant.Cause in the grant of a hedge that Pool.Hedge returns.
+// CauseHedge is the beginning of Grant.Cause in the grant of a hedge that Pool.Hedge or Pool.Tick returns.
 const CauseHedge = "hedge"
 
 // Reasons of refusals, which also appear in metric labels and header values.
@@ -217,7 +232,11 @@
 	// ReasonLimitReached means that all usable targets name limits, and that the request would
 	// be late if it waited until one of them may get it.
 	ReasonLimitReached = "LimitReached"
-	// ReasonNoTarget means that all targets are leaving or draining, or that there are none.
+	// ReasonHeldOff means that all usable targets want nothing from this host until the
+	// request would be late.
+	ReasonHeldOff = "HeldOff"
+	// ReasonNoTarget means that all targets are leaving, draining or in evacuated failure
+	// domains, or that there are none.
 	ReasonNoTarget = "NoTarget"
 	// ReasonDeadline means that an answer before the deadline is unlikely. The deadline need not have passed.
 	ReasonDeadline = "DeadlinePassed"
