--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -10,6 +10,7 @@
 
 	"gitlab.com/curranttiller/curranttiller/internal/route"
 	"gitlab.com/curranttiller/curranttiller/internal/target"
+	"gitlab.com/curranttiller/curranttiller/pkg/admit"
 	"gitlab.com/curranttiller/curranttiller/pkg/choose"
 	"gitlab.com/curranttiller/curranttiller/pkg/event"
 	"gitlab.com/curranttiller/curranttiller/pkg/fault"
@@ -20,6 +21,13 @@
 	// maxBufferedAnswerBytes is how much of an answer's body is read before its attempt
 	// wins. Until then the answer of another attempt may be used instead.
 	maxBufferedAnswerBytes = 256 << 10
+	// minPrefixBytes is the first part of an answer's body that is read. It is read even if
+	// no more may be held for the caller.
+	minPrefixBytes = 2 << 10
+	// copyBytes is the buffer for the rest of an answer, of which smallCopyBytes are used if
+	// no more may be held for the caller.
+	copyBytes      = 32 << 10
+	smallCopyBytes = 4 << 10
 	// answerGrace is how long after the deadline an answer that is on its way is still accepted.
 	answerGrace = 30 * time.Millisecond
 	// minRescueDelay is the shortest wait for an answer before a rescue, unless half of the time to the deadline is shorter.
@@ -41,9 +49,14 @@
 	// running counts the attempts that were sent and have not been reported to the pool as finished.
 	running int
 	body    *requestBody
+	// account records what is held for the caller.
+	account admit.Account
 	// rescued is set once the rescue timer has fired, even if no attempt was sent for it.
 	rescued     bool
 	firstSentAt time.Time
+	// routesReplaced is closed when the key of the request must be checked again. It is nil
+	// for a request without an organisation.
+	routesReplaced <-chan struct{}
 	// mayHaveRun is set once an attempt has ended with a verdict other than NotRun.
 	mayHaveRun bool
 }
@@ -74,7 +87,7 @@
 	s.metrics.requests.Inc()
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline.Add(answerGrace))
 	defer cancel()
-	body, err := newRequestBody(request)
+	body, err := newRequestBody(ctx, request)
 	if err != nil {
 		return s.daemon.bodyFault(err)
 	}
@@ -97,6 +110,7 @@
 		results:  make(chan *attemptResult, maxAttempts),
 		attempts: make(map[int]*attempt),
 		body:     body,
+		account:  admit.FromContext(ctx),
 	}
 	// Entry hosts set header.Retry on every attempt after the first, and targets may copy
 	// it to the calls that they make for these. Such a call gets no retries and hedges, so
@@ -114,6 +128,13 @@
 		arrival.Priority = request.Terms.Priority
 		arrival.Objective = request.Terms.Objective
 	}
+	if request.Organisation != nil {
+		arrival.Organisation = request.Organisation.Name
+		arrival.OrganisationPriority = request.Organisation.Priority
+	}
+	if failed := r.checkKey(); failed != nil {
+		return failed
+	}
 	r.decisions = s.arrive(arrival)
 	defer r.release()
 	won, failed := r.loop(ctx)
@@ -164,11 +185,13 @@
 	for {
 		select {
 		case d := <-r.decisions:
-			if d.refusal == "" {
-				r.startAttempt(ctx, d.grant, hedge, rescue)
-			} else if r.running == 0 {
-				// A refusal while another attempt is running has no effect.
-				return nil, r.refusalFault(d.refusal).WithRetryAfter(d.retryAfter)
+			if failed := r.handleDecision(ctx, d, hedge, rescue); failed != nil {
+				return nil, failed
+			}
+		case <-r.routesReplaced:
+			// An attempt that is running may end. No further one is started without a key.
+			if failed := r.checkKey(); failed != nil && r.running == 0 {
+				return nil, failed
 			}
 		case result := <-r.results:
 			r.running--
@@ -189,6 +212,28 @@
 	}
 }
 
+// handleDecision starts an attempt that the pool granted, unless its key was taken away. The
+// result is nil unless the request has failed: without another attempt that is running,
+// after a refusal or for its key.
+func (r *activeRequest) handleDecision(ctx context.Context, d decision, hedge, rescue *time.Timer) *fault.Error {
+	var failed *fault.Error
+	if d.refusal != "" {
+		if r.running == 0 {
+			failed = r.refusalFault(d.refusal).WithRetryAfter(d.retryAfter)
+		}
+		return failed
+	}
+	if failed = r.checkKey(); failed == nil {
+		r.startAttempt(ctx, d.grant, hedge, rescue)
+		return nil
+	}
+	r.service.returnGrant(r.id, d.grant)
+	if r.running > 0 {
+		return nil
+	}
+	return failed
+}
+
 func newStoppedTimer() *time.Timer {
 	timer := time.NewTimer(time.Hour)
 	timer.Stop()
@@ -288,25 +333,51 @@
 	answer, err := client.Do(ctx, outgoing)
 	if err != nil {
 		result.err = route.AsFault(err)
+		if result.err.Reason == target.ReasonNoStatus {
+			s.metrics.noStatus.Inc()
+		}
 		result.latency = time.Since(sentAt)
 		return result
 	}
 	result.answer = answer
 	s.recordDeparture(grant.Target, grant.TargetStartedAt, sentAt, answer.Departure, statedInAnswer)
-	result.prefix, err = io.ReadAll(io.LimitReader(answer.Body, maxBufferedAnswerBytes+1))
+	result.prefix, result.whole, err = readPrefix(ctx, answer.Body)
 	result.latency = time.Since(sentAt)
 	if err != nil {
 		_ = answer.Body.Close()
 		result.err = fault.Wrap(err, fault.Ran, http.StatusBadGateway, "AnswerCut")
 		return result
 	}
-	result.whole = len(result.prefix) <= maxBufferedAnswerBytes
 	if result.whole {
 		_ = answer.Body.Close()
 	}
 	return result
 }
 
+// readPrefix reads the start of an answer, up to maxBufferedAnswerBytes or what may be held
+// for the caller. whole says that the answer has ended.
+func readPrefix(ctx context.Context, body io.Reader) (prefix []byte, whole bool, err error) {
+	account := admit.FromContext(ctx)
+	for len(prefix) <= maxBufferedAnswerBytes {
+		if len(prefix) == cap(prefix) {
+			grown := min(max(2*cap(prefix), minPrefixBytes), maxBufferedAnswerBytes+1)
+			if !account.Hold(grown-cap(prefix)) && len(prefix) > 0 {
+				return prefix, false, nil
+			}
+			prefix = append(make([]byte, 0, grown), prefix...)
+		}
+		n, err := body.Read(prefix[len(prefix):cap(prefix)])
+		prefix = prefix[:len(prefix)+n]
+		if errors.Is(err, io.EOF) {
+			return prefix, len(prefix) <= maxBufferedAnswerBytes, nil
+		}
+		if err != nil {
+			return prefix, false, err
+		}
+	}
+	return prefix, false, nil
+}
+
 // handleResult reports the end of an attempt to the pool and requests a retry if one is
 // safe. done means that the caller is answered now, with failed or, if that is nil, with
 // the answer in result. Otherwise another attempt is running or has been requested.
@@ -352,6 +423,8 @@
 		outcome.Kind = choose.Declined
 	case result.answer.Status >= http.StatusInternalServerError:
 		outcome.Kind = choose.Errored
+	default:
+		outcome.Rejected = result.answer.Status >= http.StatusBadRequest
 	}
 	return outcome
 }
@@ -380,6 +453,12 @@
 // finalFault returns the error of a request whose last attempt failed, or nil if the
 // target's own answer is to be sent to the caller.
 func (r *activeRequest) finalFault(result *attemptResult) *fault.Error {
+	if verdictOf(result) == fault.NotRun {
+		// Without a key, the caller need not try again.
+		if failed := r.checkKey(); failed != nil {
+			return failed
+		}
+	}
 	if result.err != nil {
 		return result.err
 	}
@@ -398,7 +477,7 @@
 // can only go on waiting.
 func (r *activeRequest) rescue() {
 	r.rescued = true
-	r.service.suspect(r.id, r.firstSentAt)
+	r.service.suspect(r.id, r.firstSentAt, r.firstTarget())
 	if !r.request.IsIdempotent() {
 		return
 	}
@@ -408,6 +487,14 @@
 	}
 }
 
+// firstTarget returns the target of the first attempt; empty if none was sent.
+func (r *activeRequest) firstTarget() string {
+	if first, found := r.attempts[1]; found {
+		return first.grant.Target
+	}
+	return ""
+}
+
 // writeAnswer sends the winning answer to the caller. The error is nil or route.ErrTruncated.
 func (r *activeRequest) writeAnswer(w http.ResponseWriter, won *attemptResult) error {
 	answer := won.answer
@@ -425,7 +512,11 @@
 		return r.abortAnswer(won, err)
 	}
 	if !won.whole {
-		if _, err := io.CopyBuffer(w, answer.Body, make([]byte, 32<<10)); err != nil {
+		buffer := make([]byte, smallCopyBytes)
+		if r.account.Hold(copyBytes) {
+			buffer = make([]byte, copyBytes)
+		}
+		if _, err := io.CopyBuffer(w, answer.Body, buffer); err != nil {
 			return r.abortAnswer(won, err)
 		}
 		_ = answer.Body.Close()
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -102,6 +102,8 @@
 	// holdOffs counts the answers in which a target named a time for which it wants no
 	// requests, and unusualHoldOffs those whose time was unusable or replaced by a bound.
 	holdOffs, unusualHoldOffs *metrics.Counter
+	// noStatus counts the answers to requests with a status that no answer has.
+	noStatus *metrics.Counter
 	// waited is the time from the arrival of a request to the grant of the attempt that
 	// won, target the latency of that attempt, and total the time from the arrival to
 	// the end of the answer, all in seconds.
@@ -122,6 +124,7 @@
 		limitedAnswers: counter("limited_answers"), limitedProbes: counter("limited_probes"), unusualLimits: counter("unusual_limits"),
 		leavingAnswers: counter("leaving_answers"), unusualDepartures: counter("unusual_departures"),
 		holdOffs: counter("hold_offs"), unusualHoldOffs: counter("unusual_hold_offs"),
+		noStatus: counter("answers_without_status"),
 	}
 }
 
@@ -168,6 +171,7 @@
 		QueueWaitAtMost:   document.QueueWaitAtMost,
 		AttemptsAtMost:    document.AttemptsAtMost,
 		ExtraAttemptShare: document.ExtraAttemptShare,
+		HedgeShare:        document.HedgeShare,
 		HedgeQuantile:     document.HedgeQuantile,
 		BusyShare:         document.BusyShare,
 		QuietAfter:        document.QuietAfter,
@@ -315,12 +319,12 @@
 }
 
 // suspect frees the slots of a request whose answer is late. It also closes the idle
-// connections that have carried no answer since the time sent, at which the request was
-// sent, because they may be dead too.
-func (s *service) suspect(id uint64, sent time.Time) {
+// connections that may be dead too, judged by the time at which the request was first sent
+// and by the target.
+func (s *service) suspect(id uint64, sent time.Time, targetName string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.client.CloseIdleSince(sent)
+	s.client.CloseDoubtful(time.Now(), sent, s.addresses[targetName])
 	s.deliverActions(s.pool.MarkSuspect(time.Now(), id))
 }
 
@@ -338,12 +342,24 @@
 	delete(s.decisions, id)
 	for len(decisions) > 0 {
 		if unused := <-decisions; unused.refusal == "" {
-			s.deliverActions(s.pool.Finish(time.Now(), id, unused.grant.Attempt, choose.Outcome{Kind: choose.Unused}))
+			s.freeGrant(id, unused.grant)
 		}
 	}
 	s.deliverActions(s.pool.Release(time.Now(), id))
 }
 
+// returnGrant frees the slot of a grant that is not used.
+func (s *service) returnGrant(id uint64, grant choose.Grant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.freeGrant(id, grant)
+}
+
+// freeGrant is returnGrant with s.mu held.
+func (s *service) freeGrant(id uint64, grant choose.Grant) {
+	s.deliverActions(s.pool.Finish(time.Now(), id, grant.Attempt, choose.Outcome{Kind: choose.Unused}))
+}
+
 // transport returns the client and the address of a target. useNew is set if there are
 // enough connections to give each non-idempotent request a new one.
 func (s *service) transport(name string) (client *target.Client, address string, useNew bool) {
--- a/pkg/choose/types.go
+++ b/pkg/choose/types.go
@@ -25,6 +25,10 @@
 	// 1 turns hedging off. The policy Speed derives the delay from the expected latency
 	// instead, and only checks that hedging is on.
 	HedgeQuantile float64
+	// HedgeShare is the largest number of early hedges as a share of the number of requests;
+	// zero turns them off. They spend from the budget of ExtraAttemptShare too. Only the policy
+	// Speed sends them.
+	HedgeShare float64
 	// BusyShare is the smoothed share of busy slots above which no extra attempts are made.
 	// Each waiting request counts as a busy slot.
 	BusyShare float64
@@ -90,6 +94,12 @@
 	// Priority orders waiting requests. Lower values are granted first, and zero is the most urgent.
 	// The policy Speed first compares how likely the requests are to meet their objective.
 	Priority int
+	// OrganisationPriority is the rank of the caller's organisation. It goes before Priority,
+	// lower values first. It is zero without an organisation.
+	OrganisationPriority int
+	// Organisation is the name of the caller's organisation; empty if there is none. From the
+	// first request that has one, the policy Speed orders requests by their organisations too.
+	Organisation string
 	// Patience is the time limit that the caller sent with this try of the request;
 	// zero means none. Deadline may be earlier because of other limits.
 	Patience time.Duration
@@ -114,7 +124,7 @@
 	// is no answer; zero while the latency of the service is unknown.
 	SuspectAfter time.Duration
 	// Cause describes why this target was chosen. It begins with CauseHedge for a
-	// hedge that Pool.Hedge returns, but not for one that has waited in the queue.
+	// hedge that Pool.Hedge or Pool.Tick returns, but not for one that has waited in the queue.
 	Cause string
 	// Slowdown is the last one that the target reported, zero if none, and
 	// SlowdownAge is the age of that report.
@@ -201,6 +211,9 @@
 // Outcome describes the end of an attempt.
 type Outcome struct {
 	Kind OutcomeKind
+	// Rejected means that the target answered with a client error (status 4xx), which may be
+	// a fault of its own.
+	Rejected bool
 	// Latency is the time from sending the request to the end of the attempt, which is the complete answer if there is one.
 	Latency time.Duration
 	// Report is nil if the target sent no report.
@@ -209,7 +222,7 @@
 	Limit *limit.Named
 }
 
-// CauseHedge is the beginning of Grant.Cause in the grant of a hedge that Pool.Hedge returns.
+// CauseHedge is the beginning of Grant.Cause in the grant of a hedge that Pool.Hedge or Pool.Tick returns.
 const CauseHedge = "hedge"
 
 // Reasons of refusals, which also appear in metric labels and header values.
