target, platform: an answer without an id proves nothing behind other answers

For a request that may run once, such an answer counts only as the first one on its connection; otherwise the request may have run and the connection is closed. Reads are tried again as before.

--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -320,6 +320,7 @@
 		ContentLength: r.request.ContentLength,
 		Deadline:      r.service.daemon.attemptDeadline(r.request),
 		Instance:      grant.Target,
+		RunsOnce:      !r.request.IsIdempotent(),
 	}
 }
 
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -71,6 +71,9 @@
 	Deadline time.Time
 	// NewConnection sends the attempt on a connection that had no request before.
 	NewConnection bool
+	// RunsOnce says that the request must not run twice, so that it counts as not run only if
+	// an answer that is certainly its own says so.
+	RunsOnce bool
 	// Instance identifies the process of the target that the attempt is for. It is
 	// empty if targets are identified by address only.
 	Instance string
@@ -125,6 +128,9 @@
 	Cold Cold
 	// Verdict says whether the target ran the work.
 	Verdict fault.Verdict
+	// IsUnidentified says that nothing in the response shows which request it answers. On a
+	// connection that carried other requests it may be a second answer to one of them.
+	IsUnidentified bool
 }
 
 // Cold is what the answer to a probe states about the time until the target is warm.
@@ -308,6 +314,9 @@
 	if request.OnStated != nil {
 		request.OnStated(info)
 	}
+	if failed == nil && info.IsUnidentified && request.RunsOnce && track.isReused {
+		failed = fault.New(fault.MayHaveRun, http.StatusBadGateway, "AnswerUnidentified")
+	}
 	if failed != nil {
 		_ = response.Body.Close()
 		track.closeConn()
@@ -331,6 +340,8 @@
 	conn *trackedConn
 	// writesBefore is the number of writes to conn before the attempt.
 	writesBefore uint64
+	// isReused says that conn carried requests before.
+	isReused bool
 	// onConnected is called when the attempt gets a connection or has failed without one.
 	onConnected func()
 }
@@ -342,6 +353,7 @@
 			conn.setInUse()
 			t.conn = conn
 			t.writesBefore = conn.writeCount()
+			t.isReused = info.Reused
 		}
 	}, PutIdleConn: func(err error) {
 		if err == nil && t.conn != nil {
