--- a/pkg/choose/fairness.go
+++ b/pkg/choose/fairness.go
@@ -17,6 +17,10 @@
 	beyond
 )
 
+func (s standing) String() string {
+	return [...]string{"Owed", "Within", "Beyond"}[s]
+}
+
 const (
 	// recentDecay is the time constant of the recent requests of an organisation.
 	recentDecay = 3 * time.Second
@@ -115,6 +119,16 @@
 	}
 }
 
+// preview returns the standing that a first try would have, and records nothing.
+func (a *accounts) preview(now time.Time, name string, work time.Duration) standing {
+	copied := accounts{byName: make(map[string]*account), all: a.all, since: a.since}
+	if org, found := a.byName[name]; found {
+		account := *org
+		copied.byName[name] = &account
+	}
+	return copied.arrive(now, name, work, false)
+}
+
 // spend takes the work of a first try from the share of an organisation, whose last request
 // came the given time ago, and reports whether it is within the share.
 func (a *accounts) spend(now time.Time, org *account, elapsed time.Duration, work float64) bool {
--- a/pkg/choose/order.go
+++ b/pkg/choose/order.go
@@ -101,13 +101,7 @@
 			return
 		}
 		chosen := c.choose(r.pending, p.work(r.pending))
-		if chosen.target == nil {
-			continue
-		}
-		if !p.leavesRoom(now, r.pending, c) {
-			continue
-		}
-		if r.shouldWaitForFaster(now, chosen) || !p.isWorthSlot(now, r.pending, c, chosen) {
+		if p.waitReason(now, r.pending, c, chosen) != "" {
 			continue
 		}
 		p.waiting.remove(r.ID)
--- a/pkg/choose/pool.go
+++ b/pkg/choose/pool.go
@@ -308,21 +308,9 @@
 func (p *Pool) Arrive(now time.Time, request Request) Actions {
 	p.extraBudget.Earn()
 	p.hedgeBudget.Earn()
-	if request.AttemptsAtMost == 0 {
-		request.AttemptsAtMost = p.settings.AttemptsAtMost
-	}
-	r := &pending{Request: request, arrived: now}
-	r.precedence = precedence{standing: within, organisation: r.OrganisationPriority, route: r.Priority}
-	p.refreshDepartures(now)
-	if !p.hasActiveTarget() {
-		return refuse(request.ID, ReasonNoTarget)
-	}
-	if !now.Before(request.Deadline) {
-		return refuse(request.ID, ReasonDeadline)
-	}
-	p.limitToStop(r)
-	if p.outlastsStop(now, r) {
-		return refuse(request.ID, ReasonStopping)
+	r := p.newPending(now, request)
+	if reason := p.refuseHopeless(now, r); reason != "" {
+		return refuse(request.ID, reason)
 	}
 	if p.settings.Policy == spec.PolicySpeed {
 		return p.arriveBySpeed(now, r)
@@ -341,6 +329,33 @@
 	return p.dispatch(now)
 }
 
+// newPending returns the state of a request that arrives now.
+func (p *Pool) newPending(now time.Time, request Request) *pending {
+	if request.AttemptsAtMost == 0 {
+		request.AttemptsAtMost = p.settings.AttemptsAtMost
+	}
+	r := &pending{Request: request, arrived: now}
+	r.precedence = precedence{standing: within, organisation: r.OrganisationPriority, route: r.Priority}
+	return r
+}
+
+// refuseHopeless returns the reason for which a new request is refused whatever the load,
+// empty if there is none.
+func (p *Pool) refuseHopeless(now time.Time, r *pending) string {
+	p.refreshDepartures(now)
+	if !p.hasActiveTarget() {
+		return ReasonNoTarget
+	}
+	if !now.Before(r.Deadline) {
+		return ReasonDeadline
+	}
+	p.limitToStop(r)
+	if p.outlastsStop(now, r) {
+		return ReasonStopping
+	}
+	return ""
+}
+
 func refuse(id uint64, reason string) Actions {
 	return Actions{Refusals: []Refusal{{Request: id, Reason: reason}}}
 }
--- a/pkg/choose/speed.go
+++ b/pkg/choose/speed.go
@@ -212,24 +212,33 @@
 func (p *Pool) arriveBySpeed(now time.Time, r *pending) Actions {
 	r.spent = p.spentBefore(r)
 	r.precedence.standing = p.standingOf(now, r)
-	if refusal, isRefused := p.refuseByLimit(now, r, p.waitingBefore(r)); isRefused {
+	refusal, isRefused := p.refuseBySpeed(now, r)
+	if isRefused {
+		if refusal.Reason == ReasonQueueFull && p.canMeetObjective(now, r) {
+			p.contendedAt = now
+		}
 		return Actions{Refusals: []Refusal{refusal}}
 	}
+	p.requests[r.ID] = r
+	p.waiting.pushBack(r)
+	return p.dispatch(now)
+}
+
+// refuseBySpeed decides whether a new request is refused at once.
+func (p *Pool) refuseBySpeed(now time.Time, r *pending) (Refusal, bool) {
+	if refusal, isRefused := p.refuseByLimit(now, r, p.waitingBefore(r)); isRefused {
+		return refusal, true
+	}
 	if refusal, isRefused := p.refuseByHoldOff(now, r); isRefused {
-		return Actions{Refusals: []Refusal{refusal}}
+		return refusal, true
 	}
 	if wait := p.queueingDelay(now, r); wait > 0 && p.becomesLate(now, wait, r) {
-		if p.canMeetObjective(now, r) {
-			p.contendedAt = now
-		}
-		return Actions{Refusals: []Refusal{{Request: r.ID, Reason: ReasonQueueFull, RetryAfter: p.returnAfter(now, wait, r)}}}
+		return Refusal{Request: r.ID, Reason: ReasonQueueFull, RetryAfter: p.returnAfter(now, wait, r)}, true
 	}
 	if p.missesDeadline(now, r) {
-		return refuse(r.ID, r.deadlineReason())
+		return Refusal{Request: r.ID, Reason: r.deadlineReason()}, true
 	}
-	p.requests[r.ID] = r
-	p.waiting.pushBack(r)
-	return p.dispatch(now)
+	return Refusal{}, false
 }
 
 // queueingDelay estimates the time until r gets a slot. It divides the work of the waiting
@@ -360,7 +369,7 @@
 		if chosen.target == nil {
 			return
 		}
-		if r.shouldWaitForFaster(now, chosen) || !p.isWorthSlot(now, r, c, chosen) {
+		if p.waitReason(now, r, c, chosen) != "" {
 			continue
 		}
 		p.waiting.remove(r.ID)
@@ -368,6 +377,37 @@
 	}
 }
 
+// The reasons for which a request waits.
+const (
+	// WaitQueue means that others go first.
+	WaitQueue = "OthersGoFirst"
+	// WaitNoOpenTarget means that no usable target has a free slot.
+	WaitNoOpenTarget = "NoOpenTarget"
+	// WaitRoom means that the open targets are left to requests that go first.
+	WaitRoom = "RoomForOthers"
+	// WaitFaster means that a busy target will probably answer in time, and no open one.
+	WaitFaster = "FasterTargetBusy"
+	// WaitScarce means that slots are scarce and the answer would probably be late.
+	WaitScarce = "ProbablyLate"
+)
+
+// waitReason is the reason for which a request waits although it is first in the order, empty
+// if it is granted.
+func (p *Pool) waitReason(now time.Time, r *pending, c *comparison, chosen choice) string {
+	switch {
+	case chosen.target == nil:
+		return WaitNoOpenTarget
+	case p.hasOrganisations && !p.leavesRoom(now, r, c):
+		return WaitRoom
+	case r.shouldWaitForFaster(now, chosen):
+		return WaitFaster
+	case !p.isWorthSlot(now, r, c, chosen):
+		return WaitScarce
+	default:
+		return ""
+	}
+}
+
 // shouldWaitForFaster reports whether the open target would miss the deadline, or would
 // miss the objective while a busy target could still meet it.
 func (r *pending) shouldWaitForFaster(now time.Time, chosen choice) bool {
