cmds, entry: curranttiller explain says what a host would do with a request now

The command asks one host by host name, path and organisation, and prints the target or the reason for a wait or a refusal, with the estimates of all targets and the age of what they rest on, as text or JSON. The decisions are those of Pool.Arrive. Nothing is sent and no state changes; a test at a host with two targets checks both. Allotments are left out.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -25,6 +25,8 @@
 	Documents() Documents
 	// Events returns the stored events that the filter selects, oldest first.
 	Events(filter event.Filter) []event.Event
+	// Explain says what would happen to a request, which isn't sent.
+	Explain(query ExplainQuery) Explanation
 	Metrics() *metrics.Set
 }
 
@@ -44,6 +46,7 @@
 	mux.HandleFunc("GET /tiller/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, handler.Status()) })
 	mux.HandleFunc("GET /tiller/documents", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, handler.Documents()) })
 	mux.HandleFunc("GET /tiller/events", s.serveEvents)
+	mux.HandleFunc("GET /tiller/explain", s.serveExplanation)
 	mux.HandleFunc("GET /metrics", s.serveMetrics)
 	if withPprof {
 		mux.HandleFunc("GET /debug/pprof/", pprof.Index)
--- a/internal/cmds/app.go
+++ b/internal/cmds/app.go
@@ -81,7 +81,7 @@
 }
 
 func commands() []*command {
-	return []*command{entryCommand(), checkCommand(), publishCommand(), recoverCommand(), showCommand(), statusCommand(), timelineCommand(), referenceCommand()}
+	return []*command{entryCommand(), checkCommand(), publishCommand(), recoverCommand(), showCommand(), statusCommand(), explainCommand(), timelineCommand(), referenceCommand()}
 }
 
 // Run runs the command that the first argument names and returns its exit code. The
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -112,11 +112,26 @@
 		body:     body,
 		account:  admit.FromContext(ctx),
 	}
+	arrival := newArrival(request, r.id, maxAttempts)
+	if failed := r.checkKey(); failed != nil {
+		return failed
+	}
+	r.decisions = s.arrive(arrival)
+	defer r.release()
+	won, failed := r.loop(ctx)
+	if failed != nil {
+		return failed
+	}
+	return r.writeAnswer(w, won)
+}
+
+// newArrival returns what the pool needs to know of a request.
+func newArrival(request *route.Request, id uint64, maxAttempts int) choose.Request {
 	// Entry hosts set header.Retry on every attempt after the first, and targets may copy
 	// it to the calls that they make for these. Such a call gets no retries and hedges, so
 	// that retries don't multiply along a chain of calls.
 	arrival := choose.Request{
-		ID:              r.id,
+		ID:              id,
 		Idempotent:      request.IsIdempotent(),
 		Deadline:        request.Deadline,
 		Patience:        request.Patience,
@@ -132,16 +147,7 @@
 		arrival.Organisation = request.Organisation.Name
 		arrival.OrganisationPriority = request.Organisation.Priority
 	}
-	if failed := r.checkKey(); failed != nil {
-		return failed
-	}
-	r.decisions = s.arrive(arrival)
-	defer r.release()
-	won, failed := r.loop(ctx)
-	if failed != nil {
-		return failed
-	}
-	return r.writeAnswer(w, won)
+	return arrival
 }
 
 // release cancels the attempts that are still running, waits for them to end and
