--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -171,6 +171,7 @@
 		QueueWaitAtMost:   document.QueueWaitAtMost,
 		AttemptsAtMost:    document.AttemptsAtMost,
 		ExtraAttemptShare: document.ExtraAttemptShare,
+		HedgeShare:        document.HedgeShare,
 		HedgeQuantile:     document.HedgeQuantile,
 		BusyShare:         document.BusyShare,
 		QuietAfter:        document.QuietAfter,
@@ -305,6 +306,7 @@
 	now := time.Now()
 	s.deliverActions(s.pool.Finish(now, id, attempt, outcome))
 	s.announceLimitChanges(now, statedInAnswer)
+	s.announceColdChanges(now, assumedAfterErrors)
 }
 
 // retry requests another attempt from the pool and reports whether it is allowed.
@@ -429,6 +431,7 @@
 	}
 	s.deliverActions(s.pool.Probed(now, name, report))
 	s.announceLimitChanges(now, statedInProbe)
+	s.announceColdChanges(now, assumedAfterErrors)
 }
 
 func (s *service) close() {
