entry, target: net/http asks for the key before it repeats a read

Reads of organisations had an empty body so that net/http never repeats them after a broken connection, which made the pool count these as failures. GetBody now checks the key instead (target.Request.MayRepeat), so that reads are repeated as before while the key is held.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -35,11 +35,10 @@
 
 // newRequestBody reads a body of at most maxReplayBodyBytes into memory, and sets its
 // length in the request if that was unknown. A non-idempotent request keeps a body of
-// length zero, because net/http may send a request without a body twice. So does one of an
-// organisation, whose key must be checked before each attempt.
+// length zero, because net/http may send a request without a body twice.
 func newRequestBody(ctx context.Context, request *route.Request) (*requestBody, error) {
 	switch {
-	case request.IsIdempotent() && request.Organisation == nil && request.ContentLength == 0:
+	case request.IsIdempotent() && request.ContentLength == 0:
 		return &requestBody{}, nil
 	case request.ContentLength > maxReplayBodyBytes:
 		return &requestBody{stream: request.Body, hasBody: true}, nil
--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -86,6 +86,13 @@
 	return r.withEarlierAttempts(failed)
 }
 
+// hasKey reports whether the key of a request still belongs to its organisation.
+func (d *Daemon) hasKey(request *route.Request) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.checkKey(request) == nil
+}
+
 // checkKey is activeRequest.checkKey without the earlier attempts; d.mu is held.
 func (d *Daemon) checkKey(request *route.Request) *fault.Error {
 	owner := d.routes.Organisations().Owner(request.Key)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -311,7 +311,7 @@
 	if grant.Attempt > 1 {
 		head.Set(header.Retry, "true")
 	}
-	return &target.Request{
+	outgoing := &target.Request{
 		Address:       address,
 		Method:        r.request.Method,
 		URI:           r.request.URI,
@@ -322,6 +322,10 @@
 		Instance:      grant.Target,
 		RunsOnce:      !r.request.IsIdempotent(),
 	}
+	if r.request.Organisation != nil {
+		outgoing.MayRepeat = func() bool { return r.service.daemon.hasKey(r.request) }
+	}
+	return outgoing
 }
 
 // sendAttempt sends one attempt and reads up to maxBufferedAnswerBytes of its answer.
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -74,6 +74,9 @@
 	// RunsOnce says that the request must not run twice, so that it counts as not run only if
 	// an answer that is certainly its own says so.
 	RunsOnce bool
+	// MayRepeat is asked before net/http sends a request without a body again on its own,
+	// because a connection broke that had carried other requests; nil allows it.
+	MayRepeat func() bool
 	// Instance identifies the process of the target that the attempt is for. It is
 	// empty if targets are identified by address only.
 	Instance string
@@ -458,6 +461,15 @@
 	if request.Body != nil {
 		outgoing.Body = unrepeatableBody{request.Body}
 		outgoing.ContentLength = request.ContentLength
+	} else if request.MayRepeat != nil {
+		// net/http asks for a body again before it repeats a request that has one.
+		outgoing.Body = unrepeatableBody{http.NoBody}
+		outgoing.GetBody = func() (io.ReadCloser, error) {
+			if !request.MayRepeat() {
+				return nil, eris.New("the request may not be repeated")
+			}
+			return unrepeatableBody{http.NoBody}, nil
+		}
 	}
 	return outgoing.WithContext(ctx), nil
 }
--- a/internal/target/uri_test.go
+++ b/internal/target/uri_test.go
@@ -1,6 +1,7 @@
 package target_test
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -61,3 +62,45 @@
 		})
 	}
 }
+
+// TestTransportAsksBeforeItRepeats checks that net/http repeats a read after a connection
+// broke that had carried requests only if MayRepeat allows it.
+func TestTransportAsksBeforeItRepeats(t *testing.T) {
+	tests := []struct {
+		name string
+		// mayRepeat is the answer of MayRepeat; nil leaves it out.
+		mayRepeat func() bool
+		runs      int64
+		isLost    bool
+	}{
+		{name: "not asked", runs: 3},
+		{name: "allowed", mayRepeat: func() bool { return true }, runs: 3},
+		{name: "not allowed", mayRepeat: func() bool { return false }, runs: 2, isLost: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := startScriptedServer(t, okReply, "", okReply)
+			client := newClient()
+			defer client.Close()
+			send := func() error {
+				read := request(s, http.MethodGet, "")
+				read.Body, read.ContentLength, read.MayRepeat = nil, 0, tt.mayRepeat
+				answer, err := client.Do(t.Context(), read)
+				if err != nil {
+					return err
+				}
+				_, _ = io.Copy(io.Discard, answer.Body)
+				return answer.Body.Close()
+			}
+			is.NoErr(send())
+			time.Sleep(20 * time.Millisecond) // the connection is in the pool again
+			err := send()
+			is.Equal(err != nil, tt.isLost)
+			if tt.isLost {
+				is.Equal(fault.VerdictOf(err), fault.MayHaveRun)
+			}
+			is.Equal(s.runs.Load(), tt.runs)
+		})
+	}
+}
