choose: the share of an organisation stays a number when the work of a request is unknown

Cause: a request with no known work after a long pause divided zero by zero, and the share of its organisation was not a number from then on (found in review; TestRequestsWithoutKnownWork failed before). Change: the limit of what a host learns applies only with recent work.

--- a/pkg/choose/fairness.go
+++ b/pkg/choose/fairness.go
@@ -143,12 +143,14 @@
 	} else {
 		org.beyondAt = now
 	}
-	learned, growth := work, excessGrowth*usual+shareRequests*work/recentDecay.Seconds()
-	switch {
-	case !isWithin:
-		learned *= min(usual/recent, 1)
-	case known > learningTime:
-		learned *= min(growth/recent, 1)
+	learned := work
+	if known > learningTime && recent > 0 {
+		// A lasting increase becomes usual slowly.
+		most := usual
+		if isWithin {
+			most = excessGrowth*usual + shareRequests*work/recentDecay.Seconds()
+		}
+		learned *= min(most/recent, 1)
 	}
 	org.recent += work
 	a.all.recent += work
--- a/pkg/choose/fairness_test.go
+++ b/pkg/choose/fairness_test.go
@@ -57,3 +57,21 @@
 	a.forget(now)
 	is.Equal(len(a.byName), 1)
 }
+
+// TestRequestsWithoutKnownWork guards against shares that are not numbers, from which an
+// organisation would never recover.
+func TestRequestsWithoutKnownWork(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	a := newAccounts(now)
+	now = now.Add(2 * learningTime)
+	for _, work := range []time.Duration{0, 0, time.Second, 0} {
+		now = now.Add(time.Hour)
+		a.arrive(now, "a", work, false)
+		a.arrive(now, "a", work, true)
+	}
+	org := a.byName["a"]
+	for _, value := range []float64{org.usual, org.recent, org.saved, a.all.usual, a.all.recent} {
+		is.True(value >= 0)
+	}
+}
