entry: what the configuration says is one part of the daemon

Cause: routes, splitter, the signal for replaced routes and evacuated domains were four fields of Daemon under its lock. Change: they are the type inForce, in a file of its own; no behaviour changes. Result: tests of internal/entry pass.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -21,7 +21,6 @@
 	"gitlab.com/curranttiller/curranttiller/pkg/settle"
 	"gitlab.com/curranttiller/curranttiller/pkg/spec"
 	"gitlab.com/curranttiller/curranttiller/pkg/steer"
-	"gitlab.com/curranttiller/curranttiller/pkg/table"
 )
 
 const (
@@ -81,16 +80,9 @@
 	recentOutcomes []ledger.Outcome
 
 	// configuration and targets are the topics of the store that this host follows.
-	// routes is decoded from configuration and nil before the first valid one. splitter
-	// divides the requests of a route between its services by their weights.
 	configuration *followedTopic
 	targets       *followedTopic
-	routes        *table.Table
-	splitter      *table.Splitter
-	// routesReplaced is closed when other routes come into force, and then replaced.
-	routesReplaced chan struct{}
-	// evacuated are the failure domains that are evacuated, in order.
-	evacuated []string
+	inForce
 	// joinPhase says whether the membership table has settled, which means that it is
 	// complete enough to compute the steered hosts from it.
 	joinPhase member.JoinPhase
@@ -195,13 +187,12 @@
 		observationsWantedAt: make(map[string]time.Time),
 		relayReportAt:        make(map[string]time.Time),
 
-		configuration:  newFollowedTopic(TopicConfiguration, settings.FailureDomain),
-		targets:        newFollowedTopic(TopicTargets, settings.FailureDomain),
-		routesReplaced: make(chan struct{}),
-		splitter:       table.NewSplitter(rand.New(rand.NewPCG(incarnation, 0)).Float64),
-		jitter:         rand.New(rand.NewPCG(incarnation, 1)).Float64(),
-		knownHosts:     max(len(settings.Peers), 1),
-		reachedHosts:   1,
+		configuration: newFollowedTopic(TopicConfiguration, settings.FailureDomain),
+		targets:       newFollowedTopic(TopicTargets, settings.FailureDomain),
+		inForce:       newInForce(rand.New(rand.NewPCG(incarnation, 0)).Float64),
+		jitter:        rand.New(rand.NewPCG(incarnation, 1)).Float64(),
+		knownHosts:    max(len(settings.Peers), 1),
+		reachedHosts:  1,
 
 		ctx:    ctx,
 		cancel: cancel,
