target: an attempt that got a connection which was closed here is sent on another one

Cause: a connection that this host closes stays in the pool of net/http until its read loop has seen that. The next attempt could get it, and failed as TargetUnreachable although the target was well.

Change: nothing has been written then, so the attempt is sent again, at most three times, if its body is in memory or there is none. Each send reads the body from its start on its own.

--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -34,6 +34,9 @@
 	recentAnswer        = 100 * time.Millisecond
 	// maxStatus is the highest status that an answer may have.
 	maxStatus = 599
+	// maxBlockedSends is how often an attempt is sent again because it got a connection that
+	// was closed here before.
+	maxBlockedSends = 3
 	// maxProbeBytes bounds the body of the answer to a probe. A probe fails if the body
 	// has this length or is longer.
 	maxProbeBytes = 4 << 10
@@ -291,21 +294,17 @@
 // Errors are a *fault.Error, with the verdict NotRun only if it is certain that no
 // byte of the request was written or will be.
 func (c *Client) Do(ctx context.Context, request *Request) (*Answer, error) {
-	var track tracker
-	outgoing, err := c.newHTTPRequest(httptrace.WithClientTrace(ctx, track.trace()), request)
-	if err != nil {
-		return nil, fault.Wrap(err, fault.NotRun, http.StatusBadRequest, "BadRequest")
-	}
-	transport := c.pooled
-	if request.NewConnection {
-		transport = c.unpooled
+	response, track, failed := c.send(ctx, request)
+	// The transport keeps a connection that was closed here until it has noticed that, and may
+	// assign it to an attempt. Nothing has been written then.
+	for range maxBlockedSends {
+		if failed == nil || failed.Verdict != fault.NotRun || !errors.Is(failed, errWritesBlocked) || !request.isRepeatable() {
+			break
+		}
+		response, track, failed = c.send(ctx, request)
 	}
-	c.unconnected.Add(1)
-	track.onConnected = sync.OnceFunc(func() { c.unconnected.Add(-1) })
-	response, err := transport.RoundTrip(outgoing)
-	track.onConnected()
-	if err != nil {
-		return nil, track.classifyError(err)
+	if failed != nil {
+		return nil, failed
 	}
 	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
 		_ = response.Body.Close()
@@ -337,6 +336,43 @@
 	}, nil
 }
 
+// send sends an attempt on one connection and returns the response as soon as its header has
+// arrived.
+func (c *Client) send(ctx context.Context, request *Request) (*http.Response, *tracker, *fault.Error) {
+	track := &tracker{}
+	outgoing, err := c.newHTTPRequest(httptrace.WithClientTrace(ctx, track.trace()), request)
+	if err != nil {
+		return nil, nil, fault.Wrap(err, fault.NotRun, http.StatusBadRequest, "BadRequest")
+	}
+	transport := c.pooled
+	if request.NewConnection {
+		transport = c.unpooled
+	}
+	c.unconnected.Add(1)
+	track.onConnected = sync.OnceFunc(func() { c.unconnected.Add(-1) })
+	response, err := transport.RoundTrip(outgoing)
+	track.onConnected()
+	if err != nil {
+		return nil, nil, track.classifyError(err)
+	}
+	return response, track, nil
+}
+
+// isRepeatable reports whether the request can be sent again from its start.
+func (r *Request) isRepeatable() bool {
+	_, isInMemory := r.Body.(io.ReaderAt)
+	return r.Body == nil || isInMemory
+}
+
+// bodyFromStart returns the body for one send. A body in memory is read from its start each
+// time, because an earlier send may still read it.
+func (r *Request) bodyFromStart() io.Reader {
+	if inMemory, ok := r.Body.(io.ReaderAt); ok && r.ContentLength >= 0 {
+		return io.NewSectionReader(inMemory, 0, r.ContentLength)
+	}
+	return r.Body
+}
+
 // tracker records the connection of an attempt.
 type tracker struct {
 	// conn is nil until the attempt gets a connection.
@@ -459,7 +495,7 @@
 	outgoing.Header.Del("Host")
 	c.protocol.SetHeaders(outgoing.Header, request)
 	if request.Body != nil {
-		outgoing.Body = unrepeatableBody{request.Body}
+		outgoing.Body = unrepeatableBody{request.bodyFromStart()}
 		outgoing.ContentLength = request.ContentLength
 	} else if request.MayRepeat != nil {
 		// net/http asks for a body again before it repeats a request that has one.
