--- /dev/null
+++ b/review/_stand2/fleet.go
@@ -0,0 +1,194 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// Figures of a small deployment.
+const (
+	graceSeconds     = 6
+	routeTimeoutMs   = 4000
+	storeName        = "keyed.op"
+	serversName      = "keyed.servers"
+	hostName         = "ficu95.example"
+	orderPrefix      = "/orders/"
+	readPrefix       = "/reads/"
+	serviceName      = "orderdesk"
+	readyWait        = 20 * time.Second
+	readyCheckPeriod = 50 * time.Millisecond
+)
+
+// host is one entry host, which runs as a process of its own.
+type host struct {
+	name, front, ready, directory, control, own string
+	command                                     *exec.Cmd
+	exited                                      chan struct{}
+}
+
+// deployment is a small fleet of entry hosts with their store.
+type deployment struct {
+	dir     string
+	store   *store
+	address string
+	server  *http.Server
+	hosts   []*host
+	log     *log
+}
+
+// freeAddress returns a free TCP address on loopback.
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String(), nil
+}
+
+func newDeployment(l *log) (*deployment, error) {
+	dir, err := os.MkdirTemp("", "review-stand2-")
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	d := &deployment{dir: dir, store: newStore(), address: listener.Addr().String(), log: l}
+	d.server = &http.Server{Handler: d.store}
+	go func() { _ = d.server.Serve(listener) }()
+	return d, nil
+}
+
+// configure writes a configuration with one route for orders, which may run once, and one
+// for reads, which may be repeated.
+func (d *deployment) configure(version int) {
+	rule := func(name, kind, prefix string) string {
+		return fmt.Sprintf(`{"name":%q,"route-kind":%q,"slo-latency-ms":800,"priority":1,"public":false,"match":{"path-prefix":%q},"action":{"service":%q,"timeout-ms":%d,"max-attempts":2}}`, name, kind, prefix, serviceName, routeTimeoutMs)
+	}
+	d.store.put(storeName, "config", fmt.Sprintf(`{"version":"%08x","limits":{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout-ms":3000,"idle-timeout-ms":15000},"base-version":"%08x","listeners":[{"host":%q,"policy":[%s,%s]}],"clusters":[{"name":%q,"health-path":"/health","max-conns":260,"protocol":"h1","tls":false}]}`,
+		version, version-1, hostName, rule("r-orders", "non_idempotent", orderPrefix), rule("r-reads", "idempotent", readPrefix), serviceName))
+}
+
+// start starts entry hosts with the settings of deploy/entry.ini, and waits until they are ready.
+func (d *deployment) start(count, memoryMB int) error {
+	template, err := os.ReadFile("deploy/entry.ini")
+	if err != nil {
+		return err
+	}
+	var seeds []string
+	for i := range count {
+		h := &host{name: fmt.Sprintf("front-a-%d", i+1)}
+		for _, address := range []*string{&h.front, &h.ready, &h.directory, &h.control, &h.own} {
+			if *address, err = freeAddress(); err != nil {
+				return err
+			}
+		}
+		seeds = append(seeds, h.control)
+		d.hosts = append(d.hosts, h)
+	}
+	for _, h := range d.hosts {
+		if err := d.launch(h, string(template), seeds[:min(3, len(seeds))], memoryMB, true); err != nil {
+			return err
+		}
+	}
+	end := time.Now().Add(readyWait)
+	for _, h := range d.hosts {
+		for !h.isReady() {
+			if time.Now().After(end) {
+				return fmt.Errorf("host %s is not ready", h.name)
+			}
+			time.Sleep(readyCheckPeriod)
+		}
+	}
+	return nil
+}
+
+func (d *deployment) launch(h *host, template string, seeds []string, memoryMB int, bootstrap bool) error {
+	ip, port, err := net.SplitHostPort(h.own)
+	if err != nil {
+		return err
+	}
+	settings := strings.NewReplacer(
+		"{{node-name}}", h.name, "{{zone}}", "zone-a", "{{ip}}", ip, "{{port-range.0}}", port,
+		"{{listen-addrs.front}}", h.front, "{{listen-addrs.ready}}", h.ready, "{{listen-addrs.directory}}", h.directory,
+		"{{listen-addrs.control}}", h.control, "{{bootstrap|json}}", fmt.Sprint(bootstrap), "{{limits.cpu-share}}", "0.32",
+		"{{limits.link-mbps}}", "1000", "{{limits.memory-mb}}", fmt.Sprint(memoryMB), "{{limits.max-fds}}", "4100",
+		"{{seeds}}", strings.Join(seeds, ","), "{{platform.addr}}", d.address, "{{bounds.ttl_max_s}}", "5",
+		"{{bounds.grace-s}}", fmt.Sprint(graceSeconds), "{{bounds.retry-budget-ratio}}", "0.2", "{{bounds.retry-budget-slack}}", "64",
+	).Replace(template)
+	path := filepath.Join(d.dir, h.name+".ini")
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		return err
+	}
+	output, err := os.Create(filepath.Join(d.dir, h.name+".log"))
+	if err != nil {
+		return err
+	}
+	h.command = exec.Command("target/curranttiller", "entry", path)
+	h.command.Stdout, h.command.Stderr = output, output
+	if err := h.command.Start(); err != nil {
+		return err
+	}
+	h.exited = make(chan struct{})
+	exited, command := h.exited, h.command
+	go func() {
+		_ = command.Wait()
+		_ = output.Close()
+		close(exited)
+	}()
+	return nil
+}
+
+func (h *host) isReady() bool {
+	client := http.Client{Timeout: time.Second}
+	answer, err := client.Get("http://" + h.ready + "/api/readiness")
+	if err != nil {
+		return false
+	}
+	_ = answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
+
+func (h *host) hasExited() bool {
+	select {
+	case <-h.exited:
+		return true
+	default:
+		return false
+	}
+}
+
+func (h *host) signal(s syscall.Signal) {
+	if !h.hasExited() {
+		_ = h.command.Process.Signal(s)
+	}
+}
+
+// close ends all processes that the deployment started.
+func (d *deployment) close() {
+	for _, h := range d.hosts {
+		if h.command == nil || h.exited == nil {
+			continue
+		}
+		h.signal(syscall.SIGKILL)
+		<-h.exited
+	}
+	_ = d.server.Close()
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(d.dir)
+	}
+}
+
+// register writes the entry of a target.
+func (d *deployment) register(id, address, state string, sequence int, born int64) {
+	d.store.put(serversName, id, fmt.Sprintf(`{"addr":%q,"node-info":{"service":%q,"version":"v1","zone":"zone-a","capacity":4},"status":{"state":%q,"sequence":%d,"cold-left-ms":0},"born":%d}`, address, serviceName, state, sequence, born))
+}
