--- a/review/_stand2/fleet.go
+++ b/review/_stand2/fleet.go
@@ -26,6 +26,9 @@
 	readyCheckPeriod = 50 * time.Millisecond
 )
 
+// program is the program of the deploy file.
+var program = "target/curranttiller"
+
 // host is one entry host, which runs as a process of its own.
 type host struct {
 	name, front, ready, directory, control, own string
@@ -41,6 +44,8 @@
 	server  *http.Server
 	hosts   []*host
 	log     *log
+	// timeoutMs is that of the routes.
+	timeoutMs int
 }
 
 // freeAddress returns a free TCP address on loopback.
@@ -62,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{dir: dir, store: newStore(), address: listener.Addr().String(), log: l}
+	d := &deployment{dir: dir, store: newStore(), address: listener.Addr().String(), log: l, timeoutMs: routeTimeoutMs}
 	d.server = &http.Server{Handler: d.store}
 	go func() { _ = d.server.Serve(listener) }()
 	return d, nil
@@ -72,7 +77,7 @@
 // for reads, which may be repeated.
 func (d *deployment) configure(version int) {
 	rule := func(name, kind, prefix string) string {
-		return fmt.Sprintf(`{"name":%q,"route-kind":%q,"slo-latency-ms":800,"priority":1,"public":false,"match":{"path-prefix":%q},"action":{"service":%q,"timeout-ms":%d,"max-attempts":2}}`, name, kind, prefix, serviceName, routeTimeoutMs)
+		return fmt.Sprintf(`{"name":%q,"route-kind":%q,"slo-latency-ms":800,"priority":1,"public":false,"match":{"path-prefix":%q},"action":{"service":%q,"timeout-ms":%d,"max-attempts":2}}`, name, kind, prefix, serviceName, d.timeoutMs)
 	}
 	d.store.put(storeName, "config", fmt.Sprintf(`{"version":"%08x","limits":{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout-ms":3000,"idle-timeout-ms":15000},"base-version":"%08x","listeners":[{"host":%q,"policy":[%s,%s]}],"clusters":[{"name":%q,"health-path":"/health","max-conns":260,"protocol":"h1","tls":false}]}`,
 		version, version-1, hostName, rule("r-orders", "non_idempotent", orderPrefix), rule("r-reads", "idempotent", readPrefix), serviceName))
@@ -133,7 +138,7 @@
 	if err != nil {
 		return err
 	}
-	h.command = exec.Command("target/curranttiller", "entry", path)
+	h.command = exec.Command(program, "entry", path)
 	h.command.Stdout, h.command.Stderr = output, output
 	if err := h.command.Start(); err != nil {
 		return err
@@ -141,7 +146,8 @@
 	h.exited = make(chan struct{})
 	exited, command := h.exited, h.command
 	go func() {
-		_ = command.Wait()
+		err := command.Wait()
+		d.log.printf("process of %s ended: %v", h.name, err)
 		_ = output.Close()
 		close(exited)
 	}()
@@ -183,7 +189,7 @@
 		<-h.exited
 	}
 	_ = d.server.Close()
-	if os.Getenv("KEEP") == "" {
+	if os.Getenv("REVIEW_KEEP") == "" {
 		_ = os.RemoveAll(d.dir)
 	}
 }
