--- a/review/_stand2/fleet.go
+++ b/review/_stand2/fleet.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -44,18 +46,40 @@
 	server  *http.Server
 	hosts   []*host
 	log     *log
+	// taken are the addresses of the hosts.
+	taken map[string]bool
 	// timeoutMs is that of the routes.
 	timeoutMs int
 }
 
-// freeAddress returns a free TCP address on loopback.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// Ports are taken below those that the system gives to outgoing connections.
+const (
+	firstPort = 12000
+	portCount = 18000
+)
+
+// freeAddress returns a loopback address whose port is free for TCP and UDP, and differs
+// from those returned before.
+func (d *deployment) freeAddress() (string, error) {
+	for range portCount {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		if d.taken[address] {
+			continue
+		}
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		conn, err := net.ListenPacket("udp", address)
+		if err != nil {
+			continue
+		}
+		_ = conn.Close()
+		d.taken[address] = true
+		return address, nil
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return "", errors.New("no port is free")
 }
 
 func newDeployment(l *log) (*deployment, error) {
@@ -67,7 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{dir: dir, store: newStore(), address: listener.Addr().String(), log: l, timeoutMs: routeTimeoutMs}
+	d := &deployment{dir: dir, store: newStore(), address: listener.Addr().String(), log: l, timeoutMs: routeTimeoutMs, taken: make(map[string]bool)}
 	d.server = &http.Server{Handler: d.store}
 	go func() { _ = d.server.Serve(listener) }()
 	return d, nil
@@ -93,7 +117,7 @@
 	for i := range count {
 		h := &host{name: fmt.Sprintf("front-a-%d", i+1)}
 		for _, address := range []*string{&h.front, &h.ready, &h.directory, &h.control, &h.own} {
-			if *address, err = freeAddress(); err != nil {
+			if *address, err = d.freeAddress(); err != nil {
 				return err
 			}
 		}
