--- a/review/_stand2/calls.go
+++ b/review/_stand2/calls.go
@@ -16,13 +16,14 @@
 	mu   sync.Mutex
 	log  *log
 	runs map[string]int
-	ends map[string]int
+	// isQuiet leaves the requests out of the record.
+	isQuiet bool
 	// work returns how long a request runs and what is answered.
 	work func(r *http.Request) (time.Duration, string)
 }
 
 func newWorkTarget(l *log, work func(r *http.Request) (time.Duration, string)) *workTarget {
-	return &workTarget{log: l, runs: make(map[string]int), ends: make(map[string]int), work: work}
+	return &workTarget{log: l, runs: make(map[string]int), work: work}
 }
 
 func (t *workTarget) serve(conn net.Conn, r *http.Request, body io.Reader) bool {
@@ -33,14 +34,15 @@
 	t.mu.Lock()
 	t.runs[id]++
 	t.mu.Unlock()
-	t.log.printf("target runs %s", id)
+	if !t.isQuiet {
+		t.log.printf("target runs %s", id)
+	}
 	length, text := t.work(r)
 	time.Sleep(length)
 	err := answer(conn, r, http.StatusOK, "", text)
-	t.mu.Lock()
-	t.ends[id]++
-	t.mu.Unlock()
-	t.log.printf("target has answered %s (%v)", id, err)
+	if !t.isQuiet {
+		t.log.printf("target has answered %s (%v)", id, err)
+	}
 	return err == nil
 }
 
@@ -54,7 +56,9 @@
 type reply struct {
 	status int
 	stamp  string
-	bytes  int
+	// isLeaving says that the answer states that its target leaves.
+	isLeaving bool
+	bytes     int
 	// whole says that the answer is complete.
 	whole bool
 	err   error
@@ -78,7 +82,7 @@
 	if err != nil {
 		return reply{err: err, took: time.Since(started)}
 	}
-	got := reply{status: r.StatusCode, stamp: r.Header.Get("X-Server-Stamp")}
+	got := reply{status: r.StatusCode, stamp: r.Header.Get("X-Server-Stamp"), isLeaving: r.Header.Get("Server-Leaving") == "1"}
 	piece := make([]byte, 4<<10)
 	for {
 		n, err := r.Body.Read(piece)
--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -39,8 +39,8 @@
 
 var plays = map[string]play{
 	"early-answer": playEarlyAnswer,
-	"stop-twice":   playStopTwice,
 	"downloads":    playDownloads,
+	"leave":        playLeave,
 }
 
 func main() {
--- a/review/_stand2/store.go
+++ b/review/_stand2/store.go
@@ -26,6 +26,8 @@
 	mu      sync.Mutex
 	topics  map[string][]record
 	changed chan struct{}
+	// isDown makes the store refuse all calls.
+	isDown bool
 }
 
 func newStore() *store {
@@ -41,7 +43,26 @@
 	s.changed = make(chan struct{})
 }
 
+// setDown makes the store refuse all calls, those that wait for a record too.
+func (s *store) setDown(isDown bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isDown = isDown
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) refuses() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isDown
+}
+
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.refuses() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	switch r.URL.Path {
 	case "/api/log-newest":
 		s.serveNewest(w, r)
@@ -95,6 +116,10 @@
 		}
 		select {
 		case <-changed:
+			if s.refuses() {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
 		case <-timer.C:
 			wait = 0
 		case <-r.Context().Done():
--- a/review/_stand2/target.go
+++ b/review/_stand2/target.go
@@ -18,6 +18,10 @@
 	id       string
 	listener net.Listener
 	serve    targetFunc
+	// accept says whether the target takes a connection, and header returns further lines of
+	// the answers to probes. Both may be nil.
+	accept func(conn net.Conn) bool
+	header func() string
 }
 
 func startTarget(id string, serve targetFunc) (*target, error) {
@@ -42,6 +46,9 @@
 
 func (t *target) serveConn(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
+	if t.accept != nil && !t.accept(conn) {
+		return
+	}
 	reader := bufio.NewReader(conn)
 	for {
 		r, err := http.ReadRequest(reader)
@@ -49,7 +56,11 @@
 			return
 		}
 		if r.URL.Path == "/health" {
-			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nX-Server-Load: 0,0,4,100\r\nContent-Length: 0\r\n\r\n", t.id)
+			further := ""
+			if t.header != nil {
+				further = t.header()
+			}
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nX-Server-Load: 0,0,4,100\r\n%sContent-Length: 0\r\n\r\n", t.id, further)
 			continue
 		}
 		if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != t.id {
