--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -41,6 +41,7 @@
 	"early-answer": playEarlyAnswer,
 	"downloads":    playDownloads,
 	"leave":        playLeave,
+	"slow-uploads": playSlowUploads,
 }
 
 func main() {
