--- a/review/_stand2/calls.go
+++ b/review/_stand2/calls.go
@@ -39,7 +39,7 @@
 	}
 	length, text := t.work(r)
 	time.Sleep(length)
-	err := answer(conn, r, http.StatusOK, "", text)
+	err := answer(conn, r, "", text)
 	if !t.isQuiet {
 		t.log.printf("target has answered %s (%v)", id, err)
 	}
@@ -82,6 +82,7 @@
 	if err != nil {
 		return reply{err: err, took: time.Since(started)}
 	}
+	defer func() { _ = r.Body.Close() }()
 	got := reply{status: r.StatusCode, stamp: r.Header.Get("X-Server-Stamp"), isLeaving: r.Header.Get("Server-Leaving") == "1"}
 	piece := make([]byte, 4<<10)
 	for {
@@ -114,7 +115,7 @@
 		if err != nil {
 			return err
 		}
-		d.register(t.id, t.address(), "ready", 1, time.Now().UnixMilli())
+		d.register(t.id, t.address(), 1, time.Now().UnixMilli())
 	}
 	return nil
 }
--- a/review/_stand2/downloads.go
+++ b/review/_stand2/downloads.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -41,8 +40,8 @@
 		return false, err
 	}
 	d.timeoutMs = int(downloadDeadline.Milliseconds())
-	d.configure(7)
-	if err := d.start(3, 184); err != nil {
+	d.configure()
+	if err := d.start(184); err != nil {
 		return false, err
 	}
 	var replies []*reply
@@ -57,7 +56,7 @@
 		i, got := len(replies), new(reply)
 		replies = append(replies, got)
 		callers.Go(func() {
-			conn, err := net.DialTimeout("tcp", d.hosts[0].front, time.Second)
+			conn, err := dial(d.hosts[0].front)
 			if err != nil {
 				*got = reply{err: err}
 				return
--- a/review/_stand2/early.go
+++ b/review/_stand2/early.go
@@ -61,7 +61,7 @@
 	for {
 		if u.early && !answered && got.bytes >= readBeforeAnswer {
 			answered = true
-			_ = answer(conn, r, http.StatusOK, "", u.text)
+			_ = answer(conn, r, "", u.text)
 			u.log.printf("target answered %s after %d bytes of the body and reads on", got.id, got.bytes)
 		}
 		n, err := body.Read(buffer)
@@ -81,7 +81,7 @@
 		}
 	}
 	if got.whole && !answered {
-		_ = answer(conn, r, http.StatusOK, "", u.text)
+		_ = answer(conn, r, "", u.text)
 	}
 	u.mu.Lock()
 	u.received = append(u.received, got)
@@ -92,7 +92,7 @@
 
 // upload sends one body in parts, and returns the status of the answer or zero.
 func upload(l *log, address, id string, isChunked bool, body []byte) int {
-	conn, err := net.DialTimeout("tcp", address, time.Second)
+	conn, err := dial(address)
 	if err != nil {
 		return 0
 	}
@@ -125,6 +125,7 @@
 		l.printf("consumer sent %s (chunked %v): no answer: %v", id, isChunked, err)
 		return 0
 	}
+	defer func() { _ = r.Body.Close() }()
 	text, err := io.ReadAll(r.Body)
 	l.printf("consumer sent %s (chunked %v): answer %d of %d bytes (%v)", id, isChunked, r.StatusCode, len(text), err)
 	return r.StatusCode
@@ -145,10 +146,10 @@
 		if err != nil {
 			return false, err
 		}
-		d.register(t.id, t.address(), "ready", 1, time.Now().UnixMilli())
+		d.register(t.id, t.address(), 1, time.Now().UnixMilli())
 	}
-	d.configure(7)
-	if err := d.start(3, 284); err != nil {
+	d.configure()
+	if err := d.start(284); err != nil {
 		return false, err
 	}
 	answered := 0
--- a/review/_stand2/fleet.go
+++ b/review/_stand2/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -16,6 +17,8 @@
 
 // Figures of a small deployment.
 const (
+	hostCount        = 3
+	configVersion    = 7
 	graceSeconds     = 6
 	routeTimeoutMs   = 4000
 	storeName        = "keyed.op"
@@ -58,6 +61,17 @@
 	portCount = 18000
 )
 
+func listen(address string) (net.Listener, error) {
+	var config net.ListenConfig
+	return config.Listen(context.Background(), "tcp", address)
+}
+
+// dial connects to a host within the time that consumers allow.
+func dial(address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: time.Second}
+	return dialer.DialContext(context.Background(), "tcp", address)
+}
+
 // freeAddress returns a loopback address whose port is free for TCP and UDP, and differs
 // from those returned before.
 func (d *deployment) freeAddress() (string, error) {
@@ -66,12 +80,13 @@
 		if d.taken[address] {
 			continue
 		}
-		listener, err := net.Listen("tcp", address)
+		listener, err := listen(address)
 		if err != nil {
 			continue
 		}
 		_ = listener.Close()
-		conn, err := net.ListenPacket("udp", address)
+		var config net.ListenConfig
+		conn, err := config.ListenPacket(context.Background(), "udp", address)
 		if err != nil {
 			continue
 		}
@@ -87,34 +102,34 @@
 	if err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := listen("127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	d := &deployment{dir: dir, store: newStore(), address: listener.Addr().String(), log: l, timeoutMs: routeTimeoutMs, taken: make(map[string]bool)}
-	d.server = &http.Server{Handler: d.store}
+	d.server = &http.Server{Handler: d.store, ReadHeaderTimeout: time.Second}
 	go func() { _ = d.server.Serve(listener) }()
 	return d, nil
 }
 
 // configure writes a configuration with one route for orders, which may run once, and one
 // for reads, which may be repeated.
-func (d *deployment) configure(version int) {
+func (d *deployment) configure() {
 	rule := func(name, kind, prefix string) string {
 		return fmt.Sprintf(`{"name":%q,"route-kind":%q,"slo-latency-ms":800,"priority":1,"public":false,"match":{"path-prefix":%q},"action":{"service":%q,"timeout-ms":%d,"max-attempts":2}}`, name, kind, prefix, serviceName, d.timeoutMs)
 	}
 	d.store.put(storeName, "config", fmt.Sprintf(`{"version":"%08x","limits":{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout-ms":3000,"idle-timeout-ms":15000},"base-version":"%08x","listeners":[{"host":%q,"policy":[%s,%s]}],"clusters":[{"name":%q,"health-path":"/health","max-conns":260,"protocol":"h1","tls":false}]}`,
-		version, version-1, hostName, rule("r-orders", "non_idempotent", orderPrefix), rule("r-reads", "idempotent", readPrefix), serviceName))
+		configVersion, configVersion-1, hostName, rule("r-orders", "non_idempotent", orderPrefix), rule("r-reads", "idempotent", readPrefix), serviceName))
 }
 
-// start starts entry hosts with the settings of deploy/entry.ini, and waits until they are ready.
-func (d *deployment) start(count, memoryMB int) error {
+// start starts the entry hosts with the settings of deploy/entry.ini, and waits until they are ready.
+func (d *deployment) start(memoryMB int) error {
 	template, err := os.ReadFile("deploy/entry.ini")
 	if err != nil {
 		return err
 	}
 	var seeds []string
-	for i := range count {
+	for i := range hostCount {
 		h := &host{name: fmt.Sprintf("front-a-%d", i+1)}
 		for _, address := range []*string{&h.front, &h.ready, &h.directory, &h.control, &h.own} {
 			if *address, err = d.freeAddress(); err != nil {
@@ -155,14 +170,14 @@
 		"{{bounds.grace-s}}", fmt.Sprint(graceSeconds), "{{bounds.retry-budget-ratio}}", "0.2", "{{bounds.retry-budget-slack}}", "64",
 	).Replace(template)
 	path := filepath.Join(d.dir, h.name+".ini")
-	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil { //nolint:gosec // in the temporary folder
 		return err
 	}
 	output, err := os.Create(filepath.Join(d.dir, h.name+".log"))
 	if err != nil {
 		return err
 	}
-	h.command = exec.Command(program, "entry", path)
+	h.command = exec.Command(program, "entry", path) //nolint:gosec,noctx // the program of the deploy file
 	h.command.Stdout, h.command.Stderr = output, output
 	if err := h.command.Start(); err != nil {
 		return err
@@ -180,7 +195,11 @@
 
 func (h *host) isReady() bool {
 	client := http.Client{Timeout: time.Second}
-	answer, err := client.Get("http://" + h.ready + "/api/readiness")
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+h.ready+"/api/readiness", http.NoBody)
+	if err != nil {
+		return false
+	}
+	answer, err := client.Do(request)
 	if err != nil {
 		return false
 	}
@@ -218,7 +237,7 @@
 	}
 }
 
-// register writes the entry of a target.
-func (d *deployment) register(id, address, state string, sequence int, born int64) {
-	d.store.put(serversName, id, fmt.Sprintf(`{"addr":%q,"node-info":{"service":%q,"version":"v1","zone":"zone-a","capacity":4},"status":{"state":%q,"sequence":%d,"cold-left-ms":0},"born":%d}`, address, serviceName, state, sequence, born))
+// register writes the entry of a target, which is ready.
+func (d *deployment) register(id, address string, sequence int, born int64) {
+	d.store.put(serversName, id, fmt.Sprintf(`{"addr":%q,"node-info":{"service":%q,"version":"v1","zone":"zone-a","capacity":4},"status":{"state":"ready","sequence":%d,"cold-left-ms":0},"born":%d}`, address, serviceName, sequence, born))
 }
--- a/review/_stand2/leave.go
+++ b/review/_stand2/leave.go
@@ -107,7 +107,7 @@
 	if isEnded {
 		further += "Connection: close\r\n"
 	}
-	return answer(conn, r, http.StatusOK, further, "done") == nil && !isEnded
+	return answer(conn, r, further, "done") == nil && !isEnded
 }
 
 // leaveRecord has when consumers sent their requests, and when each host first passed on that
@@ -138,9 +138,9 @@
 		return false, err
 	}
 	t.accept, t.header = leaving.add, leaving.header
-	d.register(t.id, t.address(), "ready", 1, time.Now().UnixMilli())
-	d.configure(7)
-	if err := d.start(3, 284); err != nil {
+	d.register(t.id, t.address(), 1, time.Now().UnixMilli())
+	d.configure()
+	if err := d.start(284); err != nil {
 		return false, err
 	}
 	time.Sleep(time.Second)
@@ -153,7 +153,7 @@
 		})
 	}
 	var born int64
-	writeEntry := func() { d.register(t.id, t.address(), "ready", 2, born) }
+	writeEntry := func() { d.register(t.id, t.address(), 2, born) }
 	if trouble {
 		at(storeDownAt, "the store is down", func() { d.store.setDown(true) })
 		at(storeBackAt, "the store is back", func() { d.store.setDown(false) })
@@ -178,7 +178,7 @@
 	index := caller % len(d.hosts)
 	for i := 0; time.Now().Before(end); i++ {
 		id := fmt.Sprintf("h%d-%02d-%04d", index+1, caller, i)
-		conn, err := net.DialTimeout("tcp", d.hosts[index].front, time.Second)
+		conn, err := dial(d.hosts[index].front)
 		if err != nil {
 			time.Sleep(leavePause)
 			continue
--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -49,7 +49,7 @@
 		fmt.Fprintln(os.Stderr, "usage: _stand2 CASE RECORD")
 		os.Exit(exitFailed)
 	}
-	file, err := os.Create(os.Args[2])
+	file, err := os.Create(os.Args[2]) //nolint:gosec // the record that the script names
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitFailed)
--- a/review/_stand2/slow.go
+++ b/review/_stand2/slow.go
@@ -38,7 +38,7 @@
 		mu.Lock()
 		ran[id] = true
 		mu.Unlock()
-		err := answer(conn, r, http.StatusOK, "", "taken")
+		err := answer(conn, r, "", "taken")
 		l.printf("target has run and answered %s (%v)", id, err)
 		_, err = io.Copy(io.Discard, body)
 		return err == nil
@@ -47,8 +47,8 @@
 		return false, err
 	}
 	d.timeoutMs = slowTimeoutMs
-	d.configure(7)
-	if err := d.start(3, 284); err != nil {
+	d.configure()
+	if err := d.start(284); err != nil {
 		return false, err
 	}
 	replies := make([]reply, slowUploads)
@@ -84,7 +84,7 @@
 // slowUpload sends an order whose body arrives slowly, or at once.
 func slowUpload(address, id string, isSlow bool) reply {
 	started := time.Now()
-	conn, err := net.DialTimeout("tcp", address, time.Second)
+	conn, err := dial(address)
 	if err != nil {
 		return reply{err: err}
 	}
@@ -106,6 +106,7 @@
 	if err != nil {
 		return reply{err: err, took: time.Since(started)}
 	}
+	defer func() { _ = r.Body.Close() }()
 	text, err := io.ReadAll(r.Body)
 	return reply{status: r.StatusCode, stamp: r.Header.Get("X-Server-Stamp"), bytes: len(text), whole: err == nil, err: err, took: time.Since(started)}
 }
--- a/review/_stand2/target.go
+++ b/review/_stand2/target.go
@@ -25,7 +25,7 @@
 }
 
 func startTarget(id string, serve targetFunc) (*target, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := listen("127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
@@ -73,9 +73,9 @@
 	}
 }
 
-// answer writes the whole answer of a target.
-func answer(w io.Writer, r *http.Request, status int, extra, body string) error {
-	_, err := io.WriteString(w, "HTTP/1.1 "+strconv.Itoa(status)+" "+http.StatusText(status)+"\r\nX-Attempt-Id: "+r.Header.Get("X-Attempt-Id")+
+// answer writes the whole answer of a target. The further lines of its head are in extra.
+func answer(w io.Writer, r *http.Request, extra, body string) error {
+	_, err := io.WriteString(w, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+r.Header.Get("X-Attempt-Id")+
 		"\r\nX-Server-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\nX-Server-Load: 1,0,4,100\r\n"+extra+"Content-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
 	return err
 }
