--- a/review/_stand2/downloads.go
+++ b/review/_stand2/downloads.go
@@ -70,15 +70,17 @@
 		})
 	}
 	callers.Wait()
-	lost, refused := 0, 0
+	lost, refused, timedOut := 0, 0, 0
 	for i := range replies {
 		switch {
 		case replies[i].status == http.StatusServiceUnavailable:
 			refused++
+		case replies[i].took >= downloadDeadline:
+			timedOut++
 		case !replies[i].whole && targets.runsOf(fmt.Sprintf("c%03d", i)) > 0:
 			lost++
 		}
 	}
-	l.printf("result: %d downloads, %d refused, %d were broken off", len(replies), refused, lost)
+	l.printf("result: %d downloads, %d refused, %d reached their deadline, %d were broken off before", len(replies), refused, timedOut, lost)
 	return lost > 3, nil
 }
--- a/review/_stand2/fleet.go
+++ b/review/_stand2/fleet.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -106,12 +107,22 @@
 	if err != nil {
 		return nil, err
 	}
+	go removeAtSignal(dir)
 	d := &deployment{dir: dir, store: newStore(), address: listener.Addr().String(), log: l, timeoutMs: routeTimeoutMs, taken: make(map[string]bool)}
 	d.server = &http.Server{Handler: d.store, ReadHeaderTimeout: time.Second}
 	go func() { _ = d.server.Serve(listener) }()
 	return d, nil
 }
 
+// removeAtSignal removes a folder and ends the process at a signal to stop.
+func removeAtSignal(dir string) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	<-signals
+	_ = os.RemoveAll(dir)
+	os.Exit(exitFailed)
+}
+
 // configure writes a configuration with one route for orders, which may run once, and one
 // for reads, which may be repeated.
 func (d *deployment) configure() {
@@ -179,6 +190,7 @@
 	}
 	h.command = exec.Command(program, "entry", path) //nolint:gosec,noctx // the program of the deploy file
 	h.command.Stdout, h.command.Stderr = output, output
+	h.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := h.command.Start(); err != nil {
 		return err
 	}
--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -5,8 +5,11 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"runtime"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -44,7 +47,15 @@
 	"slow-uploads": playSlowUploads,
 }
 
+// init keeps the main goroutine on the main thread. Hosts are started from there, and end
+// with it, however this process ends.
+func init() {
+	runtime.LockOSThread()
+}
+
 func main() {
+	// The case goes on if nobody reads its result.
+	signal.Ignore(syscall.SIGPIPE)
 	if len(os.Args) != 3 || plays[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: _stand2 CASE RECORD")
 		os.Exit(exitFailed)
