gate: the bounds on connections are a package of their own

Servers other than those for callers need them too. Moved from internal/front without a change of behaviour: front.Gate is gate.Gate, front.NewGateLimits is gate.NewLimits.

--- a/internal/cmds/entry.go
+++ b/internal/cmds/entry.go
@@ -17,6 +17,7 @@
 	"gitlab.com/curranttiller/curranttiller/internal/config"
 	"gitlab.com/curranttiller/curranttiller/internal/entry"
 	"gitlab.com/curranttiller/curranttiller/internal/front"
+	"gitlab.com/curranttiller/curranttiller/internal/gate"
 	"gitlab.com/curranttiller/curranttiller/internal/logs"
 	"gitlab.com/curranttiller/curranttiller/internal/peer"
 	"gitlab.com/curranttiller/curranttiller/platform"
@@ -182,8 +183,8 @@
 		HeadBytes:   settings.HeadBytesAtMost,
 		HeadTimeout: settings.HeadTimeout,
 	}
-	gate := front.NewGate(front.NewGateLimits(settings), daemon.Metrics(), loggers.For("front"))
-	server := front.NewServer(daemon, limits, gate, loggers.For("front"))
+	callers := gate.New(gate.NewLimits(settings), daemon.Metrics(), loggers.For("front"))
+	server := front.NewServer(daemon, limits, callers, loggers.For("front"))
 	listener, err := front.Listen(ctx, settings.CallerAddress)
 	if err != nil {
 		return nil, eris.Wrap(err, "listening for callers on the caller address")
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"gitlab.com/curranttiller/curranttiller/internal/gate"
 	"gitlab.com/curranttiller/curranttiller/internal/route"
 	"gitlab.com/curranttiller/curranttiller/pkg/caller"
 	"gitlab.com/curranttiller/curranttiller/pkg/fault"
@@ -62,15 +63,15 @@
 	log     *slog.Logger
 	http    *http.Server
 	tracker *Tracker
-	gate    *Gate
+	gate    *gate.Gate
 	// listener is nil before Start.
 	listener net.Listener
 	done     sync.WaitGroup
 }
 
 // NewServer returns a server that is not started yet, whose connections a gate bounds.
-func NewServer(handler Handler, limits Limits, gate *Gate, log *slog.Logger) *Server {
-	s := &Server{handler: handler, limits: limits, gate: gate, log: log, tracker: NewTracker()}
+func NewServer(handler Handler, limits Limits, callers *gate.Gate, log *slog.Logger) *Server {
+	s := &Server{handler: handler, limits: limits, gate: callers, log: log, tracker: NewTracker()}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /tiller/directory", s.serveDirectory)
 	mux.HandleFunc(servicePrefix, s.serveRequest)
@@ -82,7 +83,7 @@
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	s.tracker.Follow(s.http)
-	gate.Follow(s.http, func(w http.ResponseWriter, r *http.Request, failed *fault.Error) { refuse(w, r, rand.Text(), failed) })
+	callers.Follow(s.http, func(w http.ResponseWriter, r *http.Request, failed *fault.Error) { refuse(w, r, rand.Text(), failed) })
 	return s
 }
 
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"gitlab.com/curranttiller/curranttiller/internal/front"
+	"gitlab.com/curranttiller/curranttiller/internal/gate"
 	"gitlab.com/curranttiller/curranttiller/internal/route"
 	"gitlab.com/curranttiller/curranttiller/pkg/admit"
 	"gitlab.com/curranttiller/curranttiller/pkg/caller"
@@ -140,9 +141,9 @@
 }
 
 // newGate returns a gate whose bounds the tests don't meet.
-func newGate() *front.Gate {
-	limits := front.GateLimits{Limits: admit.Limits{Connections: 1000, Bytes: 1 << 30}, Fields: 1000, AnswerStall: time.Minute}
-	return front.NewGate(limits, metrics.NewSet(), slog.New(slog.DiscardHandler))
+func newGate() *gate.Gate {
+	limits := gate.Limits{Limits: admit.Limits{Connections: 1000, Bytes: 1 << 30}, Fields: 1000, AnswerStall: time.Minute}
+	return gate.New(limits, metrics.NewSet(), slog.New(slog.DiscardHandler))
 }
 
 func dial(t *testing.T, listener net.Listener) net.Conn {
--- a/internal/front/gate.go
+++ b/internal/gate/gate.go
@@ -1,4 +1,4 @@
-package front
+package gate
 
 import (
 	"bytes"
@@ -55,8 +55,8 @@
 // tooManyFields is the answer to a head with more fields than allowed.
 const tooManyFields = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
-// GateLimits bound what callers can make the process hold.
-type GateLimits struct {
+// Limits bound what clients can make the process hold.
+type Limits struct {
 	admit.Limits
 
 	// Fields is the largest number of lines in a head.
@@ -65,10 +65,10 @@
 	AnswerStall time.Duration
 }
 
-// NewGateLimits returns the limits that settings state or imply.
-func NewGateLimits(settings *config.Settings) GateLimits {
+// NewLimits returns the limits for callers that settings state or imply.
+func NewLimits(settings *config.Settings) Limits {
 	memory := settings.MemoryMB << 20
-	limits := GateLimits{Fields: settings.HeadFieldsAtMost, AnswerStall: settings.AnswerStall}
+	limits := Limits{Fields: settings.HeadFieldsAtMost, AnswerStall: settings.AnswerStall}
 	limits.Connections = settings.CallerConnections
 	if limits.Connections == 0 {
 		limits.Connections = min(int(callerShare*float64(settings.Descriptors-fileDescriptors)), memory/connectionBytes)
@@ -83,7 +83,7 @@
 // Gate bounds the connections of callers to one or more HTTP servers, and what is held for
 // them. It is safe for concurrent use.
 type Gate struct {
-	limits GateLimits
+	limits Limits
 	log    *slog.Logger
 	lastID atomic.Uint64
 	// isCutting is set by Cut.
@@ -98,8 +98,8 @@
 	loggedAt time.Time
 }
 
-// NewGate returns a gate without connections, which registers its metrics in a set.
-func NewGate(limits GateLimits, set *metrics.Set, log *slog.Logger) *Gate {
+// New returns a gate without connections, which registers its metrics in a set.
+func New(limits Limits, set *metrics.Set, log *slog.Logger) *Gate {
 	g := &Gate{
 		limits:  limits,
 		log:     log,
--- a/internal/front/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -1,4 +1,4 @@
-package front_test
+package gate_test
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 
 	"gitlab.com/curranttiller/curranttiller/internal/config"
-	"gitlab.com/curranttiller/curranttiller/internal/front"
+	"gitlab.com/curranttiller/curranttiller/internal/gate"
 )
 
 // TestDerivedLimitsLeaveRoomForOrdinaryCallers checks the limits that follow from machines of
@@ -26,7 +26,7 @@
 			text := fmt.Sprintf("[Host]\nName = h\nFailureDomain = a\nCallerAddress = 127.0.0.1:1\nPeerAddress = 127.0.0.1:2\nAdminAddress = 127.0.0.1:3\nMemoryMB = %d\nDescriptors = %d\n[Platform]\nAddress = 127.0.0.1:4\n", tt.memoryMB, tt.descriptors)
 			settings, err := config.Parse("test", []byte(text))
 			is.NoErr(err)
-			limits := front.NewGateLimits(&settings)
+			limits := gate.NewLimits(&settings)
 			is.True(limits.Connections >= 1000)
 			is.True(limits.Connections <= tt.descriptors*2/3) // the system's own calls keep a third
 			const usualRequestBytes = 20 << 10
--- a/internal/front/queued_linux.go
+++ b/internal/gate/queued_linux.go
@@ -1,4 +1,4 @@
-package front
+package gate
 
 import (
 	"net"
--- a/internal/front/queued_other.go
+++ b/internal/gate/queued_other.go
@@ -1,6 +1,6 @@
 //go:build !linux
 
-package front
+package gate
 
 import "net"
 
