admin: connections of operators and what is held for them are bounded

What was seen: on the users measured 808 MB after 1,500 heads of 6,000 fields at AdminAddress of a host of 284 MB.

Cause: the gate guarded the servers for callers, the directory and readiness only. The server for operators took any number of connections, heads of 1 MB, and built a whole answer for each request, for as long as its client did not read it.

Why the fix works: the server has a gate of its own, so that a crowd there takes nothing from callers and the other way round: 64 connections, heads of 16 KiB and 256 lines, and a bound on the answers in progress. Unfinished heads go first, so that a metrics collector still gets in. Idle connections end after 60 s.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -11,12 +11,18 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"gitlab.com/curranttiller/curranttiller/internal/gate"
 	"gitlab.com/curranttiller/curranttiller/pkg/event"
+	"gitlab.com/curranttiller/curranttiller/pkg/fault"
 )
 
 const (
 	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 60 * time.Second
+	maxHeadBytes      = 16 << 10
 	closeTimeout      = time.Second
+	// refusedRetryAfterSeconds is when a client may return for whose request there was no room.
+	refusedRetryAfterSeconds = "1"
 )
 
 // Handler supplies the state of an entry host.
@@ -35,13 +41,14 @@
 	handler Handler
 	host    string
 	http    *http.Server
+	gate    *gate.Gate
 	done    sync.WaitGroup
 }
 
-// NewServer returns a server that is not started yet. host is the name of the entry host.
-// withPprof adds the endpoints of net/http/pprof for profiles.
-func NewServer(host string, handler Handler, withPprof bool) *Server {
-	s := &Server{handler: handler, host: host}
+// NewServer returns a server that is not started yet, whose connections a gate bounds. host is
+// the name of the entry host. withPprof adds the endpoints of net/http/pprof for profiles.
+func NewServer(host string, handler Handler, operators *gate.Gate, withPprof bool) *Server {
+	s := &Server{handler: handler, host: host, gate: operators}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /tiller/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, handler.Status()) })
 	mux.HandleFunc("GET /tiller/documents", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, handler.Documents()) })
@@ -52,13 +59,20 @@
 		mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 		mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	}
-	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes}
+	operators.Follow(s.http, refuse)
 	return s
 }
 
+// refuse answers a request for which there is no room.
+func refuse(w http.ResponseWriter, _ *http.Request, failed *fault.Error) {
+	w.Header().Set("Retry-After", refusedRetryAfterSeconds)
+	http.Error(w, failed.Reason, failed.Status)
+}
+
 // Start accepts connections from a listener until Close. It does not block.
 func (s *Server) Start(listener net.Listener) {
-	s.done.Go(func() { _ = s.http.Serve(listener) })
+	s.done.Go(func() { _ = s.http.Serve(s.gate.Guard(listener)) })
 }
 
 // Close stops the server. It waits up to closeTimeout for requests in progress.
@@ -66,6 +80,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	if s.http.Shutdown(ctx) != nil {
+		s.gate.Cut()
 		_ = s.http.Close()
 	}
 	s.done.Wait()
--- a/internal/cmds/entry.go
+++ b/internal/cmds/entry.go
@@ -150,9 +150,10 @@
 // openServers opens all servers of the host. After an error some of them may be open.
 func openServers(settings *config.Settings, daemon *entry.Daemon, loggers *logs.Set) (*servers, error) {
 	ctx := context.Background()
+	operatorGate := gate.New("admin", gate.NewAdminLimits(settings), daemon.Metrics(), loggers.For("entry"))
 	opened := &servers{
 		peers: peer.NewServer(daemon, daemon.ControlBytes()),
-		admin: admin.NewServer(settings.Name, entry.AdminView{Daemon: daemon}, settings.Pprof == "On"),
+		admin: admin.NewServer(settings.Name, entry.AdminView{Daemon: daemon}, operatorGate, settings.Pprof == "On"),
 	}
 	callers, err := openCallerServer(ctx, settings, daemon, loggers)
 	if err != nil {
@@ -183,7 +184,7 @@
 		HeadBytes:   settings.HeadBytesAtMost,
 		HeadTimeout: settings.HeadTimeout,
 	}
-	callers := gate.New(gate.NewLimits(settings), daemon.Metrics(), loggers.For("front"))
+	callers := gate.New("caller", gate.NewCallerLimits(settings), daemon.Metrics(), loggers.For("front"))
 	server := front.NewServer(daemon, limits, callers, loggers.For("front"))
 	listener, err := front.Listen(ctx, settings.CallerAddress)
 	if err != nil {
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -142,8 +142,8 @@
 
 // newGate returns a gate whose bounds the tests don't meet.
 func newGate() *gate.Gate {
-	limits := gate.Limits{Limits: admit.Limits{Connections: 1000, Bytes: 1 << 30}, Fields: 1000, AnswerStall: time.Minute}
-	return gate.New(limits, metrics.NewSet(), slog.New(slog.DiscardHandler))
+	limits := gate.Limits{Limits: admit.Limits{Connections: 1000, Bytes: 1 << 30}, Fields: 1000, RequestBytes: 1 << 10, AnswerStall: time.Minute}
+	return gate.New("caller", limits, metrics.NewSet(), slog.New(slog.DiscardHandler))
 }
 
 func dial(t *testing.T, listener net.Listener) net.Conn {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -25,7 +25,7 @@
 	fieldBytes = 256
 	// headByteCost is about how many bytes a byte of a head takes while it is read.
 	headByteCost = 2
-	// requestBytes is about what the goroutines and buffers of a request take.
+	// requestBytes is about what the goroutines and buffers of a caller's request take.
 	requestBytes = 16 << 10
 	// writePieceBytes is the part of an answer that a caller must accept within the limit
 	// for answers that it doesn't read.
@@ -48,9 +48,22 @@
 	connectionBytes = 96 << 10
 	// heldShare is the part of the memory of the process that is held for callers at most.
 	heldShare = 1.0 / 8
+
+	// adminConnections is the largest number of connections of operators and metrics
+	// collectors, and adminShare the part of the descriptors that they may use.
+	adminConnections = 64
+	adminShare       = 1.0 / 16
+	// adminHeldShare is the part of the memory of the process that is held for them at most.
+	adminHeldShare = 1.0 / 32
+	// adminFields is the largest number of lines in the head of their requests.
+	adminFields = 256
+	// adminAnswerBytes is about the longest answer to them, apart from events, and
+	// eventBytes what an event adds.
+	adminAnswerBytes = 256 << 10
+	eventBytes       = 512
 )
 
-var errShed = errors.New("connection was closed because the host holds too much for callers")
+var errShed = errors.New("connection was closed because the host holds too much for clients")
 
 // tooManyFields is the answer to a head with more fields than allowed.
 const tooManyFields = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
@@ -61,14 +74,17 @@
 
 	// Fields is the largest number of lines in a head.
 	Fields int
+	// RequestBytes is about what a request takes beside its head, its body and an answer
+	// that is counted apart.
+	RequestBytes int
 	// AnswerStall is how long a caller may take no byte of its answer.
 	AnswerStall time.Duration
 }
 
-// NewLimits returns the limits for callers that settings state or imply.
-func NewLimits(settings *config.Settings) Limits {
+// NewCallerLimits returns the limits for callers that settings state or imply.
+func NewCallerLimits(settings *config.Settings) Limits {
 	memory := settings.MemoryMB << 20
-	limits := Limits{Fields: settings.HeadFieldsAtMost, AnswerStall: settings.AnswerStall}
+	limits := Limits{Fields: settings.HeadFieldsAtMost, RequestBytes: requestBytes, AnswerStall: settings.AnswerStall}
 	limits.Connections = settings.CallerConnections
 	if limits.Connections == 0 {
 		limits.Connections = min(int(callerShare*float64(settings.Descriptors-fileDescriptors)), memory/connectionBytes)
@@ -80,9 +96,19 @@
 	return limits
 }
 
-// Gate bounds the connections of callers to one or more HTTP servers, and what is held for
+// NewAdminLimits returns the limits for operators and metrics collectors that settings imply.
+// The whole answer to a request of theirs is held until it is read.
+func NewAdminLimits(settings *config.Settings) Limits {
+	limits := Limits{Fields: adminFields, RequestBytes: adminAnswerBytes + settings.EventsKept*eventBytes, AnswerStall: settings.AnswerStall}
+	limits.Connections = max(1, min(adminConnections, int(adminShare*float64(settings.Descriptors-fileDescriptors))))
+	limits.Bytes = max(int(adminHeldShare*float64(settings.MemoryMB<<20)), 2*limits.RequestBytes)
+	return limits
+}
+
+// Gate bounds the connections of clients to one or more HTTP servers, and what is held for
 // them. It is safe for concurrent use.
 type Gate struct {
+	name   string
 	limits Limits
 	log    *slog.Logger
 	lastID atomic.Uint64
@@ -98,18 +124,20 @@
 	loggedAt time.Time
 }
 
-// New returns a gate without connections, which registers its metrics in a set.
-func New(limits Limits, set *metrics.Set, log *slog.Logger) *Gate {
+// New returns a gate without connections, which registers its metrics in a set. Their names
+// and its log lines contain the name of its clients, such as caller.
+func New(name string, limits Limits, set *metrics.Set, log *slog.Logger) *Gate {
 	g := &Gate{
+		name:    name,
 		limits:  limits,
 		log:     log,
-		closed:  set.NewCounter("curranttiller_caller_connections_shed_total"),
-		refused: set.NewCounter("curranttiller_caller_requests_refused_for_memory_total"),
+		closed:  set.NewCounter("curranttiller_" + name + "_connections_shed_total"),
+		refused: set.NewCounter("curranttiller_" + name + "_requests_refused_for_memory_total"),
 		table:   admit.New(limits.Limits),
 		conns:   make(map[uint64]*gatedConn),
 	}
-	set.NewGauge("curranttiller_caller_connections", func() float64 { return float64(g.count(g.table.Connections)) })
-	set.NewGauge("curranttiller_caller_bytes_held", func() float64 { return float64(g.count(g.table.Held)) })
+	set.NewGauge("curranttiller_"+name+"_connections", func() float64 { return float64(g.count(g.table.Connections)) })
+	set.NewGauge("curranttiller_"+name+"_bytes_held", func() float64 { return float64(g.count(g.table.Held)) })
 	return g
 }
 
@@ -160,7 +188,7 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		if !c.Hold(requestBytes + headBytes(r)) {
+		if !c.Hold(g.limits.RequestBytes + headBytes(r)) {
 			g.refused.Inc()
 			w.Header().Set("Connection", "close")
 			refuse(w, r, fault.New(fault.NotRun, http.StatusServiceUnavailable, admit.ReasonMemoryFull).WithRetryAfter(refusedRetryAfter))
@@ -262,7 +290,7 @@
 	if now.Sub(g.loggedAt) < logPeriod {
 		return
 	}
-	g.log.Warn("connections of callers are closed to stay within the limits", "Closed", g.unlogged, "Open", g.table.Connections(), "BytesHeld", g.table.Held())
+	g.log.Warn("connections of clients are closed to stay within the limits", "Clients", g.name, "Closed", g.unlogged, "Open", g.table.Connections(), "BytesHeld", g.table.Held())
 	g.unlogged, g.loggedAt = 0, now
 }
 
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -26,7 +26,7 @@
 			text := fmt.Sprintf("[Host]\nName = h\nFailureDomain = a\nCallerAddress = 127.0.0.1:1\nPeerAddress = 127.0.0.1:2\nAdminAddress = 127.0.0.1:3\nMemoryMB = %d\nDescriptors = %d\n[Platform]\nAddress = 127.0.0.1:4\n", tt.memoryMB, tt.descriptors)
 			settings, err := config.Parse("test", []byte(text))
 			is.NoErr(err)
-			limits := gate.NewLimits(&settings)
+			limits := gate.NewCallerLimits(&settings)
 			is.True(limits.Connections >= 1000)
 			is.True(limits.Connections <= tt.descriptors*2/3) // the system's own calls keep a third
 			const usualRequestBytes = 20 << 10
