admit: the rate at which a client moves its body or answer decides who keeps a place

Cause: one measure that errs both ways. A connection counted as moving whenever a read returned a byte, or a write of 16 KiB began. A byte each 300 ms was therefore as good as a whole body, and a client that reads all the time counted as stalled while a write waits for a third of the send buffer to become free.

Why the fix works: bytes earn time, 8 KiB a second, up to 2 s ahead. A busy connection can lose its place only if the host waits for its client and the client is late; the latest goes first. What counts of an answer is what the client has acknowledged (written less the send queue of the kernel). A body that waits for its target, or an answer that its target has not made yet, is nobody's fault and stays. Measurements are taken only when a place is needed, at most each 100 ms for a connection, and busy connections are not searched again for 100 ms if none was late, so that a crowd of proper clients can't make each refusal costly.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -133,9 +133,9 @@
 		log:     log,
 		closed:  set.NewCounter("curranttiller_" + name + "_connections_shed_total"),
 		refused: set.NewCounter("curranttiller_" + name + "_requests_refused_for_memory_total"),
-		table:   admit.New(limits.Limits),
 		conns:   make(map[uint64]*gatedConn),
 	}
+	g.table = admit.New(limits.Limits, connMeter(g.conns))
 	set.NewGauge("curranttiller_"+name+"_connections", func() float64 { return float64(g.count(g.table.Connections)) })
 	set.NewGauge("curranttiller_"+name+"_bytes_held", func() float64 { return float64(g.count(g.table.Held)) })
 	return g
@@ -294,7 +294,21 @@
 	g.unlogged, g.loggedAt = 0, now
 }
 
-// gatedConn is a connection of a caller. The phase is also held here, so that reads during
+// connMeter measures the connections of a gate, whose mutex is held.
+type connMeter map[uint64]*gatedConn
+
+// Progress implements admit.Meter.
+func (m connMeter) Progress(id uint64) admit.Progress {
+	c, exists := m[id]
+	if !exists {
+		return admit.Progress{}
+	}
+	// A read that runs beside an answer only notices that the client closes the connection.
+	isRead := c.isReading.Load() && admit.Phase(c.phase.Load()) == admit.Body
+	return admit.Progress{IsAwaited: c.isWriting.Load() || isRead, Bytes: c.taken()}
+}
+
+// gatedConn is a connection of a client. The phase is also held here, so that reads during
 // a request need no lock.
 type gatedConn struct {
 	net.Conn
@@ -302,6 +316,11 @@
 	gate  *Gate
 	id    uint64
 	phase atomic.Int32
+	// moved is the number of bytes of the body that have been read and of the answer that have
+	// been written since the phase began.
+	moved atomic.Int64
+	// isReading and isWriting are set while a read or a write waits for the client.
+	isReading, isWriting atomic.Bool
 	// isPipelined says that the caller has sent bytes before it had its answer.
 	isPipelined atomic.Bool
 	// isClosing is set by the first call of Close.
@@ -312,7 +331,10 @@
 }
 
 func (c *gatedConn) enter(phase admit.Phase) {
-	c.phase.Store(int32(phase))
+	if admit.Phase(c.phase.Swap(int32(phase))) == phase {
+		return
+	}
+	c.moved.Store(0)
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
 	c.gate.table.Enter(c.id, phase, time.Now())
@@ -341,13 +363,15 @@
 
 // Read implements net.Conn. What arrives of a head counts as held.
 func (c *gatedConn) Read(p []byte) (int, error) {
+	c.isReading.Store(true)
 	n, err := c.Conn.Read(p)
+	c.isReading.Store(false)
 	if n == 0 {
 		return n, err
 	}
 	switch phase := admit.Phase(c.phase.Load()); phase {
 	case admit.Body:
-		c.enter(admit.Body)
+		c.moved.Add(int64(n))
 	case admit.Running, admit.Answer:
 		c.isPipelined.Store(true)
 	case admit.Head, admit.Idle:
@@ -373,6 +397,13 @@
 	return nil
 }
 
+// taken returns how much of the body has been read and how much of the answer the client has
+// acknowledged. A write to a full send buffer goes on only when much of the buffer is free, so
+// what has been written does not show how the client reads.
+func (c *gatedConn) taken() int64 {
+	return c.moved.Load() - int64(max(queued(c.Conn, sent), 0))
+}
+
 // Write implements net.Conn. It fails if the caller takes no bytes for too long.
 func (c *gatedConn) Write(p []byte) (int, error) {
 	written := 0
@@ -383,8 +414,11 @@
 		if err := c.SetWriteDeadline(time.Now().Add(c.gate.limits.AnswerStall)); err != nil {
 			return written, err
 		}
+		c.isWriting.Store(true)
 		n, err := c.Conn.Write(p[written:min(written+writePieceBytes, len(p))])
+		c.isWriting.Store(false)
 		written += n
+		c.moved.Add(int64(n))
 		if err != nil || written == len(p) {
 			return written, err
 		}
--- a/pkg/admit/table.go
+++ b/pkg/admit/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -24,9 +25,15 @@
 )
 
 const (
-	// stallTime is how long a body or an answer must have stood still before its connection
-	// may be closed for others.
+	// stallTime is how long a client whose body or answer has just begun may leave the host
+	// waiting before its connection may be closed for others.
 	stallTime = time.Second
+	// slowBytes is the number of bytes by which a client earns a further second, and
+	// maxLead how far it can get ahead.
+	slowBytes = 8 << 10
+	maxLead   = 2 * time.Second
+	// judgePeriod is the shortest time between two measurements of the same connection.
+	judgePeriod = 100 * time.Millisecond
 	// heavyBytes is the largest amount that may use all of Limits.Bytes. Larger ones may use
 	// only heavyShare of them.
 	heavyBytes = 24 << 10
@@ -44,29 +51,74 @@
 	Bytes int
 }
 
+// Progress is how far the client of a connection has come with a body or an answer.
+type Progress struct {
+	// IsAwaited says that the host waits for the client, and for nothing else.
+	IsAwaited bool
+	// Bytes is how much of the body has arrived, or how much of the answer the client has
+	// acknowledged, since the phase began.
+	Bytes int64
+}
+
+// Meter measures the progress of connections.
+type Meter interface {
+	// Progress is called for connections in the phases Body and Answer.
+	Progress(id uint64) Progress
+}
+
 type conn struct {
 	id      uint64
 	address string
 	phase   Phase
-	// since is when the phase began or its bytes last moved.
+	// since is when the phase began.
 	since time.Time
 	held  int
+	// dueAt is until when the client has earned its place by the bytes that it has moved,
+	// of which counted are counted. It was last judged at judgedAt.
+	dueAt    time.Time
+	counted  int64
+	judgedAt time.Time
+}
+
+// judge updates dueAt. A client that moves slowBytes a second stays ahead of it, and one
+// that the host does not wait for can't be late.
+func (c *conn) judge(progress Progress, now time.Time) {
+	c.judgedAt = now
+	if !progress.IsAwaited {
+		c.dueAt = now.Add(stallTime)
+	}
+	if moved := progress.Bytes - c.counted; moved > 0 {
+		c.counted = progress.Bytes
+		c.dueAt = c.dueAt.Add(time.Duration(float64(moved) / slowBytes * float64(time.Second)))
+	}
+	if latest := now.Add(maxLead); c.dueAt.After(latest) {
+		c.dueAt = latest
+	}
+}
+
+// isYoung reports whether nothing of a request is lost if the connection is closed.
+func (c *conn) isYoung() bool {
+	return c.phase == Head || c.phase == Idle
 }
 
 // Table holds the open connections. It is not safe for concurrent use.
 type Table struct {
 	limits Limits
-	conns  map[uint64]*conn
-	held   int
+	meter  Meter
+	// young are the connections in the phases Head and Idle, and busy the others.
+	young, busy map[uint64]*conn
+	held        int
+	// noneLateUntil is set when no busy connection was found late.
+	noneLateUntil time.Time
 }
 
 // New returns a table without connections.
-func New(limits Limits) *Table {
-	return &Table{limits: limits, conns: make(map[uint64]*conn)}
+func New(limits Limits, meter Meter) *Table {
+	return &Table{limits: limits, meter: meter, young: make(map[uint64]*conn), busy: make(map[uint64]*conn)}
 }
 
 // Connections returns the number of open connections.
-func (t *Table) Connections() int { return len(t.conns) }
+func (t *Table) Connections() int { return len(t.young) + len(t.busy) }
 
 // Held returns the number of bytes held for all connections.
 func (t *Table) Held() int { return t.held }
@@ -74,24 +126,38 @@
 // Open adds a connection and returns those that must be closed for it. If ok is false the
 // connection was not added and must be closed itself.
 func (t *Table) Open(id uint64, address string, now time.Time) (shed []uint64, ok bool) {
-	if excess := len(t.conns) + 1 - t.limits.Connections; excess > 0 {
+	if excess := t.Connections() + 1 - t.limits.Connections; excess > 0 {
 		shed = t.shedConnections(excess, now)
 	}
-	if len(t.conns) >= t.limits.Connections {
+	if t.Connections() >= t.limits.Connections {
 		return shed, false
 	}
-	t.conns[id] = &conn{id: id, address: address, since: now}
+	t.young[id] = &conn{id: id, address: address, since: now}
 	return shed, true
 }
 
-// Enter sets the phase of a connection, or records that its bytes have moved. In the phase
-// Idle nothing is held for it.
+// lookup returns an open connection, nil if there is none.
+func (t *Table) lookup(id uint64) *conn {
+	if c, isYoung := t.young[id]; isYoung {
+		return c
+	}
+	return t.busy[id]
+}
+
+// Enter sets the phase of a connection. In the phase Idle nothing is held for it.
 func (t *Table) Enter(id uint64, phase Phase, now time.Time) {
-	c, exists := t.conns[id]
-	if !exists {
+	c := t.lookup(id)
+	if c == nil || c.phase == phase {
 		return
 	}
-	c.phase, c.since = phase, now
+	delete(t.young, id)
+	delete(t.busy, id)
+	c.phase, c.since, c.dueAt, c.counted = phase, now, now.Add(stallTime), 0
+	if c.isYoung() {
+		t.young[id] = c
+	} else {
+		t.busy[id] = c
+	}
 	if phase == Idle {
 		t.held -= c.held
 		c.held = 0
@@ -102,8 +168,8 @@
 // closed for that. If ok is false the bytes were not added. The connection may be among
 // those to close, and it may have been closed before.
 func (t *Table) Hold(id uint64, bytes int, now time.Time) (shed []uint64, ok bool) {
-	c, exists := t.conns[id]
-	if !exists {
+	c := t.lookup(id)
+	if c == nil {
 		return nil, false
 	}
 	limit := t.limits.Bytes
@@ -113,7 +179,7 @@
 	if excess := t.held + bytes - limit; excess > 0 {
 		shed = t.shedBytes(excess, now)
 	}
-	if _, exists = t.conns[id]; !exists || t.held+bytes > limit {
+	if t.lookup(id) == nil || t.held+bytes > limit {
 		return shed, false
 	}
 	c.held += bytes
@@ -123,18 +189,19 @@
 
 // Close removes a connection.
 func (t *Table) Close(id uint64) {
-	if c, exists := t.conns[id]; exists {
+	if c := t.lookup(id); c != nil {
 		t.held -= c.held
-		delete(t.conns, id)
+		delete(t.young, id)
+		delete(t.busy, id)
 	}
 }
 
 // shedConnections closes at least the given number of connections, if so many may be closed.
 // Of those with unfinished heads, the addresses with most of them come first, and then the
-// oldest.
+// oldest. Of those that are late, the latest come first.
 func (t *Table) shedConnections(excess int, now time.Time) []uint64 {
 	heads := make(map[string]int)
-	for _, c := range t.conns {
+	for _, c := range t.young {
 		if c.phase == Head {
 			heads[c.address]++
 		}
@@ -145,7 +212,7 @@
 		if order == 0 && a.phase == Head {
 			order = cmp.Compare(heads[b.address], heads[a.address])
 		}
-		return cmp.Or(order, a.since.Compare(b.since), cmp.Compare(a.id, b.id))
+		return cmp.Or(order, a.dueAt.Compare(b.dueAt), a.since.Compare(b.since), cmp.Compare(a.id, b.id))
 	})
 	count := max(excess, int(shedShare*float64(t.limits.Connections)))
 	candidates = candidates[:min(count, len(candidates))]
@@ -169,16 +236,33 @@
 
 // candidates returns the connections that may be closed for others.
 func (t *Table) candidates(now time.Time) []*conn {
-	var found []*conn
-	for _, c := range t.conns {
-		isStalled := now.Sub(c.since) >= stallTime
-		if c.phase == Head || c.phase == Idle || (c.phase != Running && isStalled) {
+	found := slices.Collect(maps.Values(t.young))
+	if now.Before(t.noneLateUntil) {
+		return found
+	}
+	for _, c := range t.busy {
+		if t.isLate(c, now) {
 			found = append(found, c)
 		}
 	}
+	if len(found) == len(t.young) {
+		t.noneLateUntil = now.Add(judgePeriod)
+	}
 	return found
 }
 
+// isLate reports whether the client of a busy connection has lost its place: it moves fewer
+// than slowBytes a second, although the host waits for it.
+func (t *Table) isLate(c *conn, now time.Time) bool {
+	if c.phase == Running {
+		return false
+	}
+	if now.Sub(c.judgedAt) >= judgePeriod {
+		c.judge(t.meter.Progress(c.id), now)
+	}
+	return !now.Before(c.dueAt)
+}
+
 func (t *Table) closeAll(conns []*conn) []uint64 {
 	ids := make([]uint64, 0, len(conns))
 	for _, c := range conns {
--- a/pkg/admit/table_test.go
+++ b/pkg/admit/table_test.go
@@ -22,11 +22,26 @@
 	// age is how long ago the phase began, and held what is held for the connection.
 	age  time.Duration
 	held int
+	// moved is how much of a body or an answer has moved, and isReady says that the client
+	// has nothing to do.
+	moved   int64
+	isReady bool
+}
+
+// meter is an admit.Meter of connections that are numbered from 1.
+type meter []opened
+
+// Progress implements admit.Meter.
+func (m meter) Progress(id uint64) admit.Progress {
+	if id > uint64(len(m)) {
+		return admit.Progress{IsAwaited: true}
+	}
+	return admit.Progress{IsAwaited: !m[id-1].isReady, Bytes: m[id-1].moved}
 }
 
 func newTable(t *testing.T, limits admit.Limits, open []opened, now time.Time) *admit.Table {
 	t.Helper()
-	table := admit.New(limits)
+	table := admit.New(limits, meter(open))
 	for i, o := range open {
 		id, since := uint64(i+1), now.Add(-o.age)
 		if _, ok := table.Open(id, o.address, since); !ok {
@@ -56,6 +71,10 @@
 		{name: "the connection that is idle longest", open: []opened{{phase: admit.Running}, {phase: admit.Idle, age: time.Second}, {phase: admit.Idle, age: time.Minute}, {phase: admit.Body}}, shed: []uint64{3}},
 		{name: "a body that stands still", open: []opened{{phase: admit.Running, age: time.Minute}, {phase: admit.Body}, {phase: admit.Answer}, {phase: admit.Body, age: time.Second}}, shed: []uint64{4}},
 		{name: "an answer that is not read", open: []opened{{phase: admit.Running}, {phase: admit.Body}, {phase: admit.Answer, age: time.Second}, {phase: admit.Answer}}, shed: []uint64{3}},
+		{name: "a body of a few bytes now and then", open: []opened{{phase: admit.Running}, {phase: admit.Body, age: 3 * time.Second, moved: 30 << 10}, {phase: admit.Body, age: 2 * time.Second, moved: 6}, {phase: admit.Running}}, shed: []uint64{3}},
+		{name: "the slowest of several", open: []opened{{phase: admit.Answer, age: time.Minute, moved: 100 << 10}, {phase: admit.Answer, age: time.Minute, moved: 50 << 10}, {phase: admit.Running}, {phase: admit.Answer, age: time.Minute, moved: 200 << 10}}, shed: []uint64{2}},
+		{name: "answers that are read steadily stay", open: []opened{{phase: admit.Answer, age: time.Minute, moved: 1 << 20}, {phase: admit.Answer, age: 10 * time.Second, moved: 100 << 10}, {phase: admit.Body, age: 10 * time.Second, moved: 100 << 10}, {phase: admit.Running}}, refuse: true},
+		{name: "bodies and answers that wait for a target stay", open: []opened{{phase: admit.Answer, age: time.Minute, isReady: true}, {phase: admit.Body, age: time.Minute, isReady: true}, {phase: admit.Running}, {phase: admit.Running}}, refuse: true},
 		{name: "requests in progress stay", open: []opened{{phase: admit.Running, age: time.Minute}, {phase: admit.Body}, {phase: admit.Answer}, {phase: admit.Running}}, refuse: true},
 	}
 	for _, tt := range tests {
@@ -118,3 +137,26 @@
 	_, ok := table.Hold(2, 1, now) // nothing is held for a connection that is closed
 	is.True(!ok)
 }
+
+// TestBytesEarnTime checks that a client keeps its place by the bytes that it moves, and for a
+// limited time only if it stops, however many it has moved before.
+func TestBytesEarnTime(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	open := []opened{{phase: admit.Answer}}
+	table := newTable(t, admit.Limits{Connections: 1, Bytes: 1000}, open, now)
+	for range 20 {
+		now = now.Add(1500 * time.Millisecond)
+		open[0].moved += 20_000
+		_, ok := table.Open(2, ordinary, now)
+		is.True(!ok)
+	}
+	open[0].moved += 10 << 20
+	now = now.Add(time.Second)
+	_, ok := table.Open(2, ordinary, now)
+	is.True(!ok)
+	now = now.Add(2 * time.Second)
+	shed, ok := table.Open(2, ordinary, now)
+	is.True(ok)
+	is.Equal(shed, []uint64{1})
+}
