gate: a head that finds no room is answered with 503, not 400

What callers saw: beside a crowd that holds all bytes, a proper request got "400 Bad Request" (TestCrowdThatGoesOn on reports it as the last status in two cases). Callers don't repeat a request after 400, and it is a refusal of a request that every configuration allows.

Cause: when the bytes of a head could not be held, Read returned an error of its own, and net/http answers an unknown error of a read with 400.

Class: errors that the gate returns to net/http. The other one, too many lines, already wrote its answer itself; both now share that way. 503 is true, because the request has not been read, and it says when to return.

Evidence: TestHeadWithoutRoomIsRefused got 400 before, and now gets 503 with Retry-After.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -63,10 +63,13 @@
 	eventBytes       = 512
 )
 
-var errShed = errors.New("connection was closed because the host holds too much for clients")
-
-// tooManyFields is the answer to a head with more fields than allowed.
-const tooManyFields = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+// Answers to heads that are not read on.
+const (
+	// tooManyFields is the answer to a head with more fields than allowed.
+	tooManyFields = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+	// noRoom is the answer to a head that may not be held. Nothing of its request has run.
+	noRoom = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
 
 // Limits bound what clients can make the process hold.
 type Limits struct {
@@ -387,16 +390,23 @@
 	lines := bytes.Count(part, []byte("\n"))
 	c.lines += lines
 	if c.lines > c.gate.limits.Fields {
-		_ = c.SetWriteDeadline(time.Now().Add(c.gate.limits.AnswerStall))
-		_, _ = io.WriteString(c.Conn, tooManyFields)
-		return io.EOF // the server then closes the connection without an answer of its own
+		return c.endHead(tooManyFields)
 	}
 	if !c.Hold(headByteCost*len(part) + lines*fieldBytes) {
-		return errShed
+		c.gate.refused.Inc()
+		return c.endHead(noRoom)
 	}
 	return nil
 }
 
+// endHead answers a head that is not read on. The error makes the server close the connection
+// without an answer of its own, which would be status 400.
+func (c *gatedConn) endHead(answer string) error {
+	_ = c.SetWriteDeadline(time.Now().Add(c.gate.limits.AnswerStall))
+	_, _ = io.WriteString(c.Conn, answer)
+	return io.EOF
+}
+
 // taken returns how much of the body has been read and how much of the answer the client has
 // acknowledged. A write to a full send buffer goes on only when much of the buffer is free, so
 // what has been written does not show how the client reads.
