entry, choose: callers that don't read their answers lose the slots that others need

Cause: an answer of more than 256 KiB holds a slot of its target until its caller has read it. Nothing took the slot back while others needed it, and the queue was full of requests of the same crowd, each of which would hold the next free slot for as long. Evidence, 700 pipelines at one target of four slots: 4 attempts in progress all the time, 365 waiting, QueueFull for every ordinary request for 20 s.

Class: what one caller makes a target do at the caller's own pace. Answers that are streamed, bodies that are streamed, and what waits behind them.

Why the fix works: while requests wait or are refused for lack of slots, connections that hold slots at the pace of their callers and are late give them up (entry/reclaim.go; the late are those of pkg/admit). Requests of doubtful callers, which send further requests before they have an answer or whose address had four late connections in a row, may use half of this host's share of the slots beside others (choose/doubt.go); the rest of them is refused at once with a time to return. Without others they are served as before. A refused pipeline is closed, since the rest would be refused one after the other.

--- a/internal/entry/held_test.go
+++ b/internal/entry/held_test.go
@@ -29,6 +29,12 @@
 	return true
 }
 
+// Yield implements admit.Account.
+func (*smallAccount) Yield() bool { return false }
+
+// Record implements admit.Account.
+func (*smallAccount) Record() admit.Record { return admit.Record{} }
+
 func TestReadPrefix(t *testing.T) {
 	tests := []struct {
 		name string
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -116,8 +116,12 @@
 	if failed := r.checkKey(); failed != nil {
 		return failed
 	}
-	r.decisions = s.arrive(arrival)
+	arrival.Doubt = doubtOf(r.account.Record())
+	r.decisions = s.arrive(arrival, r.account)
 	defer r.release()
+	if body.stream != nil {
+		r.holdsAtPaceOfCaller()
+	}
 	won, failed := r.loop(ctx)
 	if failed != nil {
 		return failed
@@ -519,6 +523,9 @@
 		h.Set(header.RequestID, r.request.ID)
 	}
 	w.WriteHeader(answer.Status)
+	if !won.whole {
+		r.holdsAtPaceOfCaller()
+	}
 	if _, err := w.Write(won.prefix); err != nil {
 		return r.abortAnswer(won, err)
 	}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -11,6 +11,7 @@
 	"gitlab.com/curranttiller/curranttiller/internal/beacon"
 	"gitlab.com/curranttiller/curranttiller/internal/plat"
 	"gitlab.com/curranttiller/curranttiller/internal/target"
+	"gitlab.com/curranttiller/curranttiller/pkg/admit"
 	"gitlab.com/curranttiller/curranttiller/pkg/budget"
 	"gitlab.com/curranttiller/curranttiller/pkg/choose"
 	"gitlab.com/curranttiller/curranttiller/pkg/event"
@@ -59,6 +60,8 @@
 	targetsByID map[uint32]string
 	// decisions are the channels of all requests in the pool, by request ID.
 	decisions map[uint64]chan decision
+	// accounts are the accounts of the callers of these requests.
+	accounts map[uint64]admit.Account
 	// probeBudgets and ejected are keyed by target. ejected holds the targets that were
 	// ejected at lastHousekeeping.
 	probeBudgets     map[string]*budget.Share
@@ -66,6 +69,8 @@
 	lastHousekeeping time.Time
 	// poolDocument is a copy of document for code that holds only mu.
 	poolDocument spec.Document
+	// callerPaced are the requests that hold slots at the pace of their callers.
+	callerPaced callerPaced
 	// limitWarnedAt is when the last warning about an unusual limit of each target was logged.
 	limitWarnedAt map[string]time.Time
 	// departureWarnedAt is the same for an unusual statement that it leaves.
@@ -92,6 +97,9 @@
 	rescues  *metrics.Counter
 	refusals *metrics.Counter
 	probes   *metrics.Counter
+	// reclaims counts the connections of late callers that were closed because others needed
+	// the slots that they held.
+	reclaims *metrics.Counter
 	// limitedAnswers and limitedProbes count the answers to requests and to probes in which
 	// a target named a usable limit, and unusualLimits those with one that was unusable or
 	// was replaced by a bound.
@@ -120,7 +128,7 @@
 	return serviceMetrics{
 		waited: histogram("waited"), target: histogram("target"), total: histogram("total"),
 		requests: counter("requests"), retries: counter("retries"), hedges: counter("hedges"), rescues: counter("rescues"),
-		refusals: counter("refusals"), probes: counter("probes"),
+		refusals: counter("refusals"), probes: counter("probes"), reclaims: counter("slots_reclaimed"),
 		limitedAnswers: counter("limited_answers"), limitedProbes: counter("limited_probes"), unusualLimits: counter("unusual_limits"),
 		leavingAnswers: counter("leaving_answers"), unusualDepartures: counter("unusual_departures"),
 		holdOffs: counter("hold_offs"), unusualHoldOffs: counter("unusual_hold_offs"),
@@ -140,8 +148,10 @@
 		addresses:    make(map[string]string),
 		targetsByID:  make(map[uint32]string),
 		decisions:    make(map[uint64]chan decision),
+		accounts:     make(map[uint64]admit.Account),
 		probeBudgets: make(map[string]*budget.Share),
 		ejected:      make(map[string]bool),
+		callerPaced:  newCallerPaced(),
 
 		limitWarnedAt:     make(map[string]time.Time),
 		departureWarnedAt: make(map[string]time.Time),
@@ -276,6 +286,7 @@
 		s.deliverDecision(grant.Request, decision{grant: grant})
 	}
 	for _, refusal := range actions.Refusals {
+		s.callerPaced.isWanted = s.callerPaced.isWanted || refusal.Reason == choose.ReasonQueueFull
 		s.deliverDecision(refusal.Request, decision{refusal: refusal.Reason, retryAfter: refusal.RetryAfter})
 	}
 }
@@ -287,7 +298,7 @@
 }
 
 // arrive adds a request to the pool and returns the channel on which its decisions are sent.
-func (s *service) arrive(request choose.Request) <-chan decision {
+func (s *service) arrive(request choose.Request, account admit.Account) <-chan decision {
 	// The channel has room for every decision that a request can get, so that
 	// deliverActions never blocks. These are a grant for each attempt, and a refusal for
 	// the arrival, for the retry of each attempt and for the rescue.
@@ -295,6 +306,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.decisions[request.ID] = decisions
+	s.accounts[request.ID] = account
 	s.deliverActions(s.pool.Arrive(time.Now(), request))
 	return decisions
 }
@@ -340,6 +352,8 @@
 	defer s.mu.Unlock()
 	decisions := s.decisions[id]
 	delete(s.decisions, id)
+	delete(s.accounts, id)
+	s.callerPaced.remove(id)
 	for len(decisions) > 0 {
 		if unused := <-decisions; unused.refusal == "" {
 			s.freeGrant(id, unused.grant)
--- a/internal/entry/timers.go
+++ b/internal/entry/timers.go
@@ -31,6 +31,7 @@
 		timer.Reset(d.tickPeriod())
 		now := time.Now()
 		for _, s := range d.servicesToTick() {
+			s.reclaimSlots(now)
 			for _, name := range s.tick(now) {
 				d.done.Go(func() { d.probe(s, name) })
 			}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -191,6 +190,7 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		c.isPipelining.Store(c.current.bytes == 0 || c.current.isFollowed(r.ContentLength))
 		if !c.Hold(g.limits.RequestBytes + headBytes(r)) {
 			g.refused.Inc()
 			w.Header().Set("Connection", "close")
@@ -328,9 +328,15 @@
 	isPipelined atomic.Bool
 	// isClosing is set by the first call of Close.
 	isClosing atomic.Bool
-	// lines is the number of line ends in the head that arrives. Only Read uses it, and the
+	// head is what has arrived of the head of the next request. Only Read uses it, and the
 	// server never reads while it changes the phase.
-	lines int
+	head headScan
+	// current is the same for the request in progress. It is empty if all of the head arrived
+	// beside an earlier request.
+	current headScan
+	// isPipelining says that the request in progress arrived in that way, or with others
+	// behind it.
+	isPipelining atomic.Bool
 }
 
 func (c *gatedConn) enter(phase admit.Phase) {
@@ -349,7 +355,8 @@
 	}
 	c.enter(admit.Idle) // releases the bytes of the head, or those of the request
 	if state == http.StateActive {
-		c.lines = 0
+		c.current, c.head = c.head, headScan{}
+		c.isPipelining.Store(false)
 		c.enter(admit.Running)
 	}
 }
@@ -364,6 +371,25 @@
 	return ok
 }
 
+// Record implements admit.Account.
+func (c *gatedConn) Record() admit.Record {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	return admit.Record{IsPipelined: c.isPipelining.Load(), IsAddressLate: c.gate.table.IsAddressLate(c.id, time.Now())}
+}
+
+// Yield implements admit.Account.
+func (c *gatedConn) Yield() bool {
+	c.gate.mu.Lock()
+	var victims []*gatedConn
+	if c.gate.table.Yield(c.id, time.Now()) {
+		victims = c.gate.take([]uint64{c.id})
+	}
+	c.gate.mu.Unlock()
+	c.gate.closeAll(victims, 0)
+	return len(victims) > 0
+}
+
 // Read implements net.Conn. What arrives of a head counts as held.
 func (c *gatedConn) Read(p []byte) (int, error) {
 	c.isReading.Store(true)
@@ -387,9 +413,8 @@
 
 // readHead counts a part of a head that has arrived. An error means that it is not read on.
 func (c *gatedConn) readHead(part []byte) error {
-	lines := bytes.Count(part, []byte("\n"))
-	c.lines += lines
-	if c.lines > c.gate.limits.Fields {
+	lines := c.head.add(part)
+	if c.head.lines > c.gate.limits.Fields {
 		return c.endHead(tooManyFields)
 	}
 	if !c.Hold(headByteCost*len(part) + lines*fieldBytes) {
--- a/pkg/admit/account.go
+++ b/pkg/admit/account.go
@@ -9,6 +9,19 @@
 type Account interface {
 	// Hold adds a number of bytes. If it returns false they must not be held.
 	Hold(bytes int) bool
+	// Yield closes the connection if its client is late, and reports whether it did.
+	Yield() bool
+	// Record returns what speaks against the client.
+	Record() Record
+}
+
+// Record is what speaks against the client of a connection.
+type Record struct {
+	// IsPipelined says that it sent further requests before it had the answer to this one.
+	IsPipelined bool
+	// IsAddressLate says that several connections from its address were closed recently
+	// because their clients were late.
+	IsAddressLate bool
 }
 
 type accountKey struct{}
@@ -30,3 +43,9 @@
 
 // Hold implements Account.
 func (unlimited) Hold(int) bool { return true }
+
+// Yield implements Account.
+func (unlimited) Yield() bool { return false }
+
+// Record implements Account.
+func (unlimited) Record() Record { return Record{} }
--- a/pkg/admit/table.go
+++ b/pkg/admit/table.go
@@ -110,11 +110,12 @@
 	held        int
 	// noneLateUntil is set when no busy connection was found late.
 	noneLateUntil time.Time
+	lateness      lateness
 }
 
 // New returns a table without connections.
 func New(limits Limits, meter Meter) *Table {
-	return &Table{limits: limits, meter: meter, young: make(map[uint64]*conn), busy: make(map[uint64]*conn)}
+	return &Table{limits: limits, meter: meter, young: make(map[uint64]*conn), busy: make(map[uint64]*conn), lateness: newLateness()}
 }
 
 // Connections returns the number of open connections.
@@ -187,6 +188,24 @@
 	return shed, true
 }
 
+// Yield removes a connection if its client is late, and reports whether it did. The connection
+// must then be closed.
+func (t *Table) Yield(id uint64, now time.Time) bool {
+	c, isBusy := t.busy[id]
+	if !isBusy || !t.isLate(c, now) {
+		return false
+	}
+	t.closeAll([]*conn{c}, now)
+	return true
+}
+
+// IsAddressLate reports whether several connections from the address of a connection were
+// closed recently because their clients were late.
+func (t *Table) IsAddressLate(id uint64, now time.Time) bool {
+	c := t.lookup(id)
+	return c != nil && t.lateness.isLate(c.address, now)
+}
+
 // Close removes a connection.
 func (t *Table) Close(id uint64) {
 	if c := t.lookup(id); c != nil {
@@ -216,7 +235,7 @@
 	})
 	count := max(excess, int(shedShare*float64(t.limits.Connections)))
 	candidates = candidates[:min(count, len(candidates))]
-	return t.closeAll(candidates)
+	return t.closeAll(candidates, now)
 }
 
 // shedBytes closes connections that hold at least the given number of bytes, if there are
@@ -231,7 +250,7 @@
 	for freed := 0; count < len(candidates) && freed < wanted; count++ {
 		freed += candidates[count].held
 	}
-	return t.closeAll(candidates[:count])
+	return t.closeAll(candidates[:count], now)
 }
 
 // candidates returns the connections that may be closed for others.
@@ -263,9 +282,12 @@
 	return !now.Before(c.dueAt)
 }
 
-func (t *Table) closeAll(conns []*conn) []uint64 {
+func (t *Table) closeAll(conns []*conn, now time.Time) []uint64 {
 	ids := make([]uint64, 0, len(conns))
 	for _, c := range conns {
+		if !c.isYoung() {
+			t.lateness.add(c.address, now)
+		}
 		ids = append(ids, c.id)
 		t.Close(c.id)
 	}
--- a/pkg/admit/table_test.go
+++ b/pkg/admit/table_test.go
@@ -1,6 +1,7 @@
 package admit_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -160,3 +161,60 @@
 	is.True(ok)
 	is.Equal(shed, []uint64{1})
 }
+
+// TestYield checks which connections give up a slot of a target that others need.
+func TestYield(t *testing.T) {
+	tests := []struct {
+		name   string
+		open   opened
+		yields bool
+	}{
+		{name: "an answer that is not read", open: opened{phase: admit.Answer, age: 2 * time.Second}, yields: true},
+		{name: "an answer that has just begun", open: opened{phase: admit.Answer}},
+		{name: "an answer that is read", open: opened{phase: admit.Answer, age: 2 * time.Second, moved: 100 << 10}},
+		{name: "a body of a few bytes now and then", open: opened{phase: admit.Body, age: 2 * time.Second, moved: 7}, yields: true},
+		{name: "a body that its target does not read", open: opened{phase: admit.Body, age: time.Minute, isReady: true}},
+		{name: "a request in progress", open: opened{phase: admit.Running, age: time.Minute}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			table := newTable(t, admit.Limits{Connections: 2, Bytes: 1000}, []opened{tt.open}, now)
+			is.Equal(table.Yield(1, now), tt.yields)
+			is.Equal(table.Connections() == 0, tt.yields)
+			is.True(!table.Yield(1, now) || !tt.yields) // a connection yields once
+		})
+	}
+}
+
+// TestLateAddresses checks when the other connections of an address are doubtful, and for how
+// long. A crowd from many addresses makes the table forget none but those whose time is over.
+func TestLateAddresses(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	table := admit.New(admit.Limits{Connections: 10, Bytes: 1000}, meter(nil))
+	yield := func(id uint64, address string) {
+		_, ok := table.Open(id, address, now.Add(-time.Minute))
+		is.True(ok)
+		table.Enter(id, admit.Answer, now.Add(-time.Minute))
+		is.True(table.Yield(id, now))
+	}
+	for id, address := range []string{crowd, ordinary} {
+		_, ok := table.Open(uint64(id+1), address, now)
+		is.True(ok)
+	}
+	for id := uint64(10); id < 13; id++ {
+		yield(id, crowd)
+		is.True(!table.IsAddressLate(1, now))
+	}
+	yield(13, crowd)
+	is.True(table.IsAddressLate(1, now))
+	is.True(!table.IsAddressLate(2, now))
+	for i := range 5000 {
+		yield(14, fmt.Sprintf("198.51.%d.%d", i/256, i%256))
+	}
+	is.True(table.IsAddressLate(1, now))
+	now = now.Add(11 * time.Second)
+	is.True(!table.IsAddressLate(1, now))
+}
--- a/pkg/choose/attempt.go
+++ b/pkg/choose/attempt.go
@@ -193,7 +193,7 @@
 // Release removes a request, which must have no attempt in flight any more.
 func (p *Pool) Release(now time.Time, id uint64) Actions {
 	p.waiting.remove(id)
-	delete(p.requests, id)
+	p.remove(id)
 	if p.settings.Policy == spec.PolicySpeed {
 		// The slots of its attempts were granted to other requests when the attempts ended.
 		return Actions{}
--- a/pkg/choose/pool.go
+++ b/pkg/choose/pool.go
@@ -83,6 +83,7 @@
 	settings  Settings
 	targets   []*targetState
 	requests  map[uint64]*pending
+	doubts    doubts
 	waiting   *queue
 	latencies *latencyStats
 	// extraBudget is the token bucket for extra attempts.
@@ -312,6 +313,17 @@
 	if reason := p.refuseHopeless(now, r); reason != "" {
 		return refuse(request.ID, reason)
 	}
+	refusals, isRefused := p.arriveInDoubt(now, r)
+	if isRefused {
+		return Actions{Refusals: refusals}
+	}
+	actions := p.arriveByPolicy(now, r)
+	actions.Refusals = append(refusals, actions.Refusals...)
+	return actions
+}
+
+// arriveByPolicy adds a request that has not been refused yet.
+func (p *Pool) arriveByPolicy(now time.Time, r *pending) Actions {
 	if p.settings.Policy == spec.PolicySpeed {
 		return p.arriveBySpeed(now, r)
 	}
@@ -322,9 +334,9 @@
 		return Actions{Refusals: []Refusal{refusal}}
 	}
 	if maxWait := p.maxWait(now, r); p.waiting.len() > 0 && p.expectedWait() > maxWait {
-		return refuse(request.ID, ReasonQueueFull)
+		return refuse(r.ID, ReasonQueueFull)
 	}
-	p.requests[request.ID] = r
+	p.add(r)
 	p.waiting.pushBack(r)
 	return p.dispatch(now)
 }
--- a/pkg/choose/speed.go
+++ b/pkg/choose/speed.go
@@ -219,7 +219,7 @@
 		}
 		return Actions{Refusals: []Refusal{refusal}}
 	}
-	p.requests[r.ID] = r
+	p.add(r)
 	p.waiting.pushBack(r)
 	return p.dispatch(now)
 }
--- a/pkg/choose/types.go
+++ b/pkg/choose/types.go
@@ -100,6 +100,9 @@
 	// Organisation is the name of the caller's organisation; empty if there is none. From the
 	// first request that has one, the policy Speed orders requests by their organisations too.
 	Organisation string
+	// Doubt says how much speaks against the caller. Beside other requests, few of those with
+	// more doubt are taken.
+	Doubt Doubt
 	// Patience is the time limit that the caller sent with this try of the request;
 	// zero means none. Deadline may be earlier because of other limits.
 	Patience time.Duration
