admit: how far ahead a client can get grows with the bytes that it has moved

What was seen: TestSteadyReadersKeepTheirPlaces failed in 1 of 5 runs, and in 7 of 24 beside each other: an answer read at 400 KB/s was cut after all.

Cause: a receiver whose buffer is full acknowledges nothing until a sixteenth of the buffer is free. With 6 MB, which loopback and long paths give to a client that reads quickly at first, these are 384 KB, two seconds or more for a client that is slowed down; the lead was 2 s at most.

Why the fix works: the lead is a second, and one more for each 128 KiB that the client has moved, up to 10 s. A client whose kernel holds a large buffer has acknowledged that much before, so the lead covers the pause of any client above 8 KiB/s, while one that has read nothing gets 1.5 s for the usual window of 64 KiB.

--- a/pkg/admit/table.go
+++ b/pkg/admit/table.go
@@ -28,10 +28,13 @@
 	// stallTime is how long a client whose body or answer has just begun may leave the host
 	// waiting before its connection may be closed for others.
 	stallTime = time.Second
-	// slowBytes is the number of bytes by which a client earns a further second, and
-	// maxLead how far it can get ahead.
+	// slowBytes is the number of bytes by which a client earns a further second.
 	slowBytes = 8 << 10
-	maxLead   = 2 * time.Second
+	// leadBytes is the number of bytes by which a client may get a second further ahead, up to
+	// maxLead. Its kernel may acknowledge nothing until a sixteenth of what the client has
+	// buffered is read.
+	leadBytes = 16 * slowBytes
+	maxLead   = 10 * time.Second
 	// judgePeriod is the shortest time between two measurements of the same connection.
 	judgePeriod = 100 * time.Millisecond
 	// heavyBytes is the largest amount that may use all of Limits.Bytes. Larger ones may use
@@ -89,13 +92,18 @@
 	}
 	if moved := progress.Bytes - c.counted; moved > 0 {
 		c.counted = progress.Bytes
-		c.dueAt = c.dueAt.Add(time.Duration(float64(moved) / slowBytes * float64(time.Second)))
+		c.dueAt = c.dueAt.Add(seconds(float64(moved) / slowBytes))
 	}
-	if latest := now.Add(maxLead); c.dueAt.After(latest) {
+	lead := min(stallTime+seconds(float64(c.counted)/leadBytes), maxLead)
+	if latest := now.Add(lead); c.dueAt.After(latest) {
 		c.dueAt = latest
 	}
 }
 
+func seconds(count float64) time.Duration {
+	return time.Duration(count * float64(time.Second))
+}
+
 // isYoung reports whether nothing of a request is lost if the connection is closed.
 func (c *conn) isYoung() bool {
 	return c.phase == Head || c.phase == Idle
