gate: a client that reads steadily is not cut after AnswerStall

What callers saw: an answer is cut although its client reads all the time, also without any other load. With AnswerStallMillis = 30000 and a send buffer of 4 MB this concerns clients below some 45 KB/s.

Why the fix works: after a write has waited for AnswerStall, the connection is closed only if the client has acknowledged nothing since the last check.

Evidence: TestSteadyReaderIsNotStalled (200 KB/s, 0.7 s) failed before and passes; a client that reads nothing is still cut in it.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -218,7 +218,7 @@
 		{Section: "Callers", Key: "HeadBytesAtMost", Unit: "bytes", Default: "65536", Allowed: "4096 to 1048576", About: "Largest head of a request. A longer one gets status 431.", Set: spec.Int(&s.HeadBytesAtMost, 4096, 1<<20)},
 		{Section: "Callers", Key: "HeadFieldsAtMost", Unit: "lines", Default: "8192", Allowed: "100 to 1048576", About: "Largest number of lines in the head of a request. One with more gets status 431.", Set: spec.Int(&s.HeadFieldsAtMost, 100, 1<<20)},
 		{Section: "Callers", Key: "HeadMillis", Unit: "ms", Default: "5000", Allowed: "100 to 600000", About: "How long a caller may take to send the head of a request.", Set: spec.Millis(&s.HeadTimeout, 100*time.Millisecond, 10*time.Minute)},
-		{Section: "Callers", Key: "AnswerStallMillis", Unit: "ms", Default: "30000", Allowed: "100 to 3600000", About: "How long a caller may read no byte of its answer before the connection is closed.", Set: spec.Millis(&s.AnswerStall, 100*time.Millisecond, time.Hour)},
+		{Section: "Callers", Key: "AnswerStallMillis", Unit: "ms", Default: "30000", Allowed: "100 to 3600000", About: "How long a caller may take no byte of its answer before the connection is closed, which is noticed within twice that time.", Set: spec.Millis(&s.AnswerStall, 100*time.Millisecond, time.Hour)},
 	}
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -439,9 +440,9 @@
 	return c.moved.Load() - int64(max(queued(c.Conn, sent), 0))
 }
 
-// Write implements net.Conn. It fails if the caller takes no bytes for too long.
+// Write implements net.Conn. It fails if the client takes no bytes for too long.
 func (c *gatedConn) Write(p []byte) (int, error) {
-	written := 0
+	written, taken := 0, int64(-1)
 	for {
 		if phase := admit.Phase(c.phase.Load()); phase == admit.Running || phase == admit.Answer {
 			c.enter(admit.Answer)
@@ -454,6 +455,12 @@
 		c.isWriting.Store(false)
 		written += n
 		c.moved.Add(int64(n))
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			if before := taken; before < c.taken() {
+				taken = c.taken()
+				continue
+			}
+		}
 		if err != nil || written == len(p) {
 			return written, err
 		}
--- a/internal/gate/progress_test.go
+++ b/internal/gate/progress_test.go
@@ -133,3 +133,18 @@
 	n, _ := io.Copy(io.Discard, unread)
 	is.True(n < downloadBytes)
 }
+
+// TestSteadyReaderIsNotStalled guards against an answer that is cut although its client reads
+// all the time: a write that waits for a large part of the send buffer takes longer than
+// AnswerStall. A client that reads nothing is cut.
+func TestSteadyReaderIsNotStalled(t *testing.T) {
+	is := is.New(t)
+	address := startDownloads(t, gate.Limits{Limits: admit.Limits{Connections: 3, Bytes: 1 << 30}, Fields: 100, AnswerStall: 700 * time.Millisecond})
+	ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
+	defer cancel()
+	conn, unread := download(t, address), download(t, address)
+	total := readSteadily(ctx, conn, 200_000)
+	is.True(total > downloadBytes)
+	n, _ := io.Copy(io.Discard, unread)
+	is.True(n < downloadBytes)
+}
