entry: names that callers send don't become metrics, and little of them is logged

Cause: a request that fails is counted by service, reason and verdict, and the service is the path that the caller sent. The set of metrics keeps a counter for each name until the process ends.

Class: what a client names and something keeps by that name.

--- a/internal/entry/requestlog.go
+++ b/internal/entry/requestlog.go
@@ -76,10 +76,10 @@
 
 // logFailedRequest counts and logs a request that is answered with an error of this host.
 func (d *Daemon) logFailedRequest(request *route.Request, failed *fault.Error) {
-	d.counters.countFailedRequest(request.Service, failed)
+	d.counters.countFailedRequest(d.serviceLabel(request.Service), failed)
 	d.requestLog.Warn("request failed",
 		slog.String("Request", request.ID),
-		slog.String("Service", request.Service),
+		slog.String("Service", d.serviceLabel(request.Service)),
 		slog.String("Organisation", organisationName(request)),
 		slog.String("Reason", failed.Reason),
 		slog.String("Verdict", failed.Verdict.String()),
@@ -88,3 +88,17 @@
 		slog.String("Error", failed.Error()),
 	)
 }
+
+// unknownService is the label of all services that the host doesn't have.
+const unknownService = "unknown"
+
+// serviceLabel returns the name of a service in metrics and logs. A caller may send any name,
+// and a metric for each would stay until the process ends.
+func (d *Daemon) serviceLabel(name string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, found := d.services[name]; found {
+		return name
+	}
+	return unknownService
+}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -58,7 +58,7 @@
 
 // recordFault records a failed request in the events, the log and the metrics.
 func (d *Daemon) recordFault(request *route.Request, failed *fault.Error) {
-	d.events.Add(event.Event{Kind: "RequestFailed", Service: request.Service, Request: request.ID, Cause: failed.Error()})
+	d.events.Add(event.Event{Kind: "RequestFailed", Service: d.serviceLabel(request.Service), Request: request.ID, Cause: failed.Error()})
 	d.logFailedRequest(request, failed)
 	d.metrics.GetOrCreateCounter(`curranttiller_faults_total{verdict="` + failed.Verdict.String() + `",reason="` + failed.Reason + `"}`).Inc()
 }
