peer: connections and calls of other entry hosts are bounded

What was seen: the address for other entry hosts had no bound at all. On, with 64 MB allowed: one heartbeat of 1.9 million empty rows, 3.8 MB on the wire, takes the process to 790 to 878 MB, so that a single client ends a host of 284 MB. 700 calls whose head does not end: 3.5 GB. 700 messages of which 60 KB of a megabyte arrived: 67 MB; 719 descriptors of 500 with silent connections.

Cause: gRPC's defaults (heads of 16 MB, calls without number, 120 s to begin), messages of 4 MB, and a decoder that makes a hundred bytes of two.

What has arrived of a message counts until it is whole, what is decoded until its call ends, and a reply until it is written; connections without a call go first, then those whose client the host waits for and who is late. A call for which there is no room is refused. Heads have at most 16 KiB and requests 2 MB. The codec counts the parts of a message before it decodes them: 8,192, and one more for each 32 bytes. The client side has the same codec and bound on heads.

Not changed: whoever reaches this address is believed. docs/design/admission.md says so.

--- a/internal/cmds/entry.go
+++ b/internal/cmds/entry.go
@@ -151,8 +151,9 @@
 func openServers(settings *config.Settings, daemon *entry.Daemon, loggers *logs.Set) (*servers, error) {
 	ctx := context.Background()
 	operatorGate := gate.New("admin", gate.NewAdminLimits(settings), daemon.Metrics(), loggers.For("entry"))
+	peerGate := gate.New("peer", gate.NewPeerLimits(settings), daemon.Metrics(), loggers.For("peer"))
 	opened := &servers{
-		peers: peer.NewServer(daemon, daemon.ControlBytes()),
+		peers: peer.NewServer(daemon, peerGate, daemon.ControlBytes()),
 		admin: admin.NewServer(settings.Name, entry.AdminView{Daemon: daemon}, operatorGate, settings.Pprof == "On"),
 	}
 	callers, err := openCallerServer(ctx, settings, daemon, loggers)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -121,7 +121,7 @@
 
 	mu    sync.Mutex
 	table *admit.Table
-	conns map[uint64]*gatedConn
+	conns map[uint64]guarded
 	// unlogged is the number of connections closed since the last log line, at loggedAt.
 	unlogged int
 	loggedAt time.Time
@@ -136,7 +136,7 @@
 		log:     log,
 		closed:  set.NewCounter("curranttiller_" + name + "_connections_shed_total"),
 		refused: set.NewCounter("curranttiller_" + name + "_requests_refused_for_memory_total"),
-		conns:   make(map[uint64]*gatedConn),
+		conns:   make(map[uint64]guarded),
 	}
 	g.table = admit.New(limits.Limits, connMeter(g.conns))
 	set.NewGauge("curranttiller_"+name+"_connections", func() float64 { return float64(g.count(g.table.Connections)) })
@@ -220,13 +220,17 @@
 
 // Guard returns a listener whose connections are bounded.
 func (g *Gate) Guard(listener net.Listener) net.Listener {
-	return &gatedListener{Listener: listener, gate: g}
+	return &gatedListener{Listener: listener, open: func(conn net.Conn) (net.Conn, bool) {
+		c := &gatedConn{Conn: conn, gate: g, id: g.lastID.Add(1)}
+		return c, g.open(c.id, c, conn.RemoteAddr())
+	}}
 }
 
 type gatedListener struct {
 	net.Listener
 
-	gate *Gate
+	// open returns the connection that the server gets, and whether there is room for it.
+	open func(conn net.Conn) (net.Conn, bool)
 }
 
 // Accept returns the next connection for which there is room.
@@ -236,38 +240,44 @@
 		if err != nil {
 			return nil, err
 		}
-		if c := l.gate.open(conn); c != nil {
+		if c, ok := l.open(conn); ok {
 			return c, nil
 		}
 		_ = conn.Close()
 	}
 }
 
-// open returns nil if there is no room for the connection.
-func (g *Gate) open(conn net.Conn) *gatedConn {
-	address, _, err := net.SplitHostPort(conn.RemoteAddr().String())
+// guarded is a connection whose client may have to give up its place.
+type guarded interface {
+	progress() admit.Progress
+	// shut closes the connection at once.
+	shut()
+}
+
+// open reports whether there is room for a connection.
+func (g *Gate) open(id uint64, conn guarded, remote net.Addr) bool {
+	address, _, err := net.SplitHostPort(remote.String())
 	if err != nil {
-		address = conn.RemoteAddr().String()
+		address = remote.String()
 	}
-	c := &gatedConn{Conn: conn, gate: g, id: g.lastID.Add(1)}
 	g.mu.Lock()
-	shed, ok := g.table.Open(c.id, address, time.Now())
+	shed, ok := g.table.Open(id, address, time.Now())
 	if ok {
-		g.conns[c.id] = c
+		g.conns[id] = conn
 	}
 	victims := g.take(shed)
 	g.mu.Unlock()
-	if !ok {
+	if ok {
+		g.closeAll(victims, 0)
+	} else {
 		g.closeAll(victims, 1)
-		return nil
 	}
-	g.closeAll(victims, 0)
-	return c
+	return ok
 }
 
 // take returns the connections with these ids. It must be called with mu held.
-func (g *Gate) take(ids []uint64) []*gatedConn {
-	conns := make([]*gatedConn, 0, len(ids))
+func (g *Gate) take(ids []uint64) []guarded {
+	conns := make([]guarded, 0, len(ids))
 	for _, id := range ids {
 		if c, exists := g.conns[id]; exists {
 			conns = append(conns, c)
@@ -278,9 +288,9 @@
 }
 
 // closeAll closes connections that were shed, and counts those that were not opened too.
-func (g *Gate) closeAll(conns []*gatedConn, unopened int) {
+func (g *Gate) closeAll(conns []guarded, unopened int) {
 	for _, c := range conns {
-		_ = c.Conn.Close()
+		c.shut()
 	}
 	count := len(conns) + unopened
 	if count == 0 {
@@ -299,7 +309,7 @@
 }
 
 // connMeter measures the connections of a gate, whose mutex is held.
-type connMeter map[uint64]*gatedConn
+type connMeter map[uint64]guarded
 
 // Progress implements admit.Meter.
 func (m connMeter) Progress(id uint64) admit.Progress {
@@ -307,9 +317,7 @@
 	if !exists {
 		return admit.Progress{}
 	}
-	// A read that runs beside an answer only notices that the client closes the connection.
-	isRead := c.isReading.Load() && admit.Phase(c.phase.Load()) == admit.Body
-	return admit.Progress{IsAwaited: c.isWriting.Load() || isRead, Bytes: c.taken()}
+	return c.progress()
 }
 
 // gatedConn is a connection of a client. The phase is also held here, so that reads during
@@ -340,14 +348,24 @@
 	isPipelining atomic.Bool
 }
 
+// progress implements guarded.
+func (c *gatedConn) progress() admit.Progress {
+	// A read that runs beside an answer only notices that the client closes the connection.
+	isRead := c.isReading.Load() && admit.Phase(c.phase.Load()) == admit.Body
+	return admit.Progress{IsAwaited: c.isWriting.Load() || isRead, Bytes: c.taken()}
+}
+
+// shut implements guarded.
+func (c *gatedConn) shut() {
+	_ = c.Conn.Close()
+}
+
 func (c *gatedConn) enter(phase admit.Phase) {
 	if admit.Phase(c.phase.Swap(int32(phase))) == phase {
 		return
 	}
 	c.moved.Store(0)
-	c.gate.mu.Lock()
-	defer c.gate.mu.Unlock()
-	c.gate.table.Enter(c.id, phase, time.Now())
+	c.gate.enter(c.id, phase)
 }
 
 func (c *gatedConn) connChanged(state http.ConnState) {
@@ -364,12 +382,7 @@
 
 // Hold implements admit.Account. It closes other connections if that makes room.
 func (c *gatedConn) Hold(size int) bool {
-	c.gate.mu.Lock()
-	shed, ok := c.gate.table.Hold(c.id, size, time.Now())
-	victims := c.gate.take(shed)
-	c.gate.mu.Unlock()
-	c.gate.closeAll(victims, 0)
-	return ok
+	return c.gate.hold(c.id, size)
 }
 
 // Record implements admit.Account.
@@ -382,7 +395,7 @@
 // Yield implements admit.Account.
 func (c *gatedConn) Yield() bool {
 	c.gate.mu.Lock()
-	var victims []*gatedConn
+	var victims []guarded
 	if c.gate.table.Yield(c.id, time.Now()) {
 		victims = c.gate.take([]uint64{c.id})
 	}
@@ -483,10 +496,7 @@
 	if isFirst && admit.Phase(c.phase.Load()) == admit.Answer && (c.isPipelined.Load() || queued(c.Conn, received) > 0) {
 		c.linger()
 	}
-	c.gate.mu.Lock()
-	c.gate.table.Close(c.id)
-	delete(c.gate.conns, c.id)
-	c.gate.mu.Unlock()
+	c.gate.forget(c.id)
 	return c.Conn.Close()
 }
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -96,7 +96,8 @@
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithNoProxy(),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+		grpc.WithMaxHeaderListSize(maxCallHeadBytes),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.ForceCodecV2(newBoundedCodec())),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: backoffBase, Multiplier: backoffMultiplier, Jitter: backoffJitter, MaxDelay: maxBackoff},
 			MinConnectTimeout: connectTimeout,
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/http"
+	"slices"
 	"time"
 
 	"gitlab.com/curranttiller/curranttiller/internal/peerpb"
@@ -10,6 +11,7 @@
 	"gitlab.com/curranttiller/curranttiller/pkg/facts"
 	"gitlab.com/curranttiller/curranttiller/pkg/ledger"
 	"gitlab.com/curranttiller/curranttiller/pkg/member"
+	"gitlab.com/curranttiller/curranttiller/pkg/spec"
 )
 
 // Protocol is the version of the protocol that this package speaks.
@@ -94,11 +96,25 @@
 		h.RowCounters = append(h.RowCounters, member.RowCounter{ID: id, Counter: counters[i]})
 	}
 	for _, row := range m.GetMembers() {
-		h.Members = append(h.Members, memberFromWire(row))
+		if isUsableRow(row) {
+			h.Members = append(h.Members, memberFromWire(row))
+		}
 	}
 	return h
 }
 
+// maxTextBytes is the length of the longest name or address that is kept.
+const maxTextBytes = 64
+
+// isUsableRow reports whether the texts of a row can be those of a host.
+func isUsableRow(m *peerpb.Member) bool {
+	return spec.IsName(m.GetName()) && areShort(m.GetFailureDomain(), m.GetCallerAddress(), m.GetPeerAddress(), m.GetAdminAddress(), m.GetBeaconAddress())
+}
+
+func areShort(texts ...string) bool {
+	return !slices.ContainsFunc(texts, func(text string) bool { return len(text) > maxTextBytes })
+}
+
 func memberToWire(i *member.Info) *peerpb.Member {
 	return &peerpb.Member{
 		Name: i.Name, Incarnation: i.Incarnation, Counter: i.Counter, FailureDomain: i.FailureDomain,
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
@@ -19,9 +21,11 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
+	"gitlab.com/curranttiller/curranttiller/internal/gate"
 	"gitlab.com/curranttiller/curranttiller/internal/peer"
 	"gitlab.com/curranttiller/curranttiller/internal/peerpb"
 	"gitlab.com/curranttiller/curranttiller/internal/route"
+	"gitlab.com/curranttiller/curranttiller/pkg/admit"
 	"gitlab.com/curranttiller/curranttiller/pkg/facts"
 	"gitlab.com/curranttiller/curranttiller/pkg/fault"
 	"gitlab.com/curranttiller/curranttiller/pkg/ledger"
@@ -59,7 +63,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := peer.NewServer(handler, new(atomic.Int64))
+	server := peer.NewServer(handler, gate.New("peer", gate.Limits{Limits: admit.Limits{Connections: 100, Bytes: 64 << 20}}, metrics.NewSet(), slog.New(slog.DiscardHandler)), new(atomic.Int64))
 	server.Start(listener)
 	t.Cleanup(func() { server.Close(time.Second) })
 	return listener.Addr().String()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
+	"gitlab.com/curranttiller/curranttiller/internal/gate"
 	"gitlab.com/curranttiller/curranttiller/internal/peerpb"
 	"gitlab.com/curranttiller/curranttiller/internal/route"
 	"gitlab.com/curranttiller/curranttiller/pkg/facts"
@@ -22,7 +23,16 @@
 )
 
 const (
+	// maxMessageBytes is the size of the largest reply, and maxRequestBytes that of the largest
+	// request: a table of thousands of rows, or the head of a forwarded request.
 	maxMessageBytes = 4 << 20
+	maxRequestBytes = 2 << 20
+	// maxCallHeadBytes is the size of the largest head of a call, and maxCalls the largest
+	// number of calls on a connection.
+	maxCallHeadBytes = 16 << 10
+	maxCalls         = 1000
+	// helloTimeout is how long a client may take to begin the protocol.
+	helloTimeout = 5 * time.Second
 	// bufferBytes is the size of a connection's read buffer and of its write buffer. It is
 	// below gRPC's default because control messages are short.
 	bufferBytes        = 4 << 10
@@ -52,15 +62,22 @@
 
 	handler Handler
 	grpc    *grpc.Server
+	gate    *gate.Gate
 	done    sync.WaitGroup
 }
 
-// NewServer returns a server that is not started yet. It adds the bytes of control calls
-// to controlBytes.
-func NewServer(handler Handler, controlBytes *atomic.Int64) *Server {
-	s := &Server{handler: handler}
+// NewServer returns a server that is not started yet, whose connections a gate bounds. It adds
+// the bytes of control calls to controlBytes.
+func NewServer(handler Handler, hosts *gate.Gate, controlBytes *atomic.Int64) *Server {
+	s := &Server{handler: handler, gate: hosts}
 	s.grpc = grpc.NewServer(
-		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.MaxRecvMsgSize(maxRequestBytes),
+		grpc.MaxHeaderListSize(maxCallHeadBytes),
+		grpc.MaxConcurrentStreams(maxCalls),
+		grpc.ConnectionTimeout(helloTimeout),
+		grpc.ForceServerCodecV2(newBoundedCodec()),
+		grpc.InTapHandle(admitCall),
+		grpc.StatsHandler(callGuard{}),
 		grpc.ReadBufferSize(bufferBytes),
 		grpc.WriteBufferSize(bufferBytes),
 		grpc.StatsHandler(byteCounter{controlBytes}),
@@ -73,7 +90,7 @@
 
 // Start accepts connections from a listener until Close. It does not block.
 func (s *Server) Start(listener net.Listener) {
-	s.done.Go(func() { _ = s.grpc.Serve(listener) })
+	s.done.Go(func() { _ = s.grpc.Serve(s.gate.GuardCalls(listener)) })
 }
 
 // Close refuses new calls and lets those in progress finish. It aborts the calls that
@@ -124,6 +141,9 @@
 	if err := checkProtocol(request.GetProtocol()); err != nil {
 		return nil, err
 	}
+	if !areShort(request.GetAskerAddress(), request.GetFailureDomain()) {
+		return nil, status.Error(codes.InvalidArgument, "address or failure domain of the requester is too long")
+	}
 	reply, found := s.handler.Facts(&FactsRequest{Topic: request.GetTopic(), From: request.GetFrom(), Era: request.GetEra(), Requester: facts.Requester{
 		Address: request.GetAskerAddress(), FailureDomain: request.GetFailureDomain(), RedirectFailed: request.GetInsists(),
 	}})
--- a/pkg/admit/table.go
+++ b/pkg/admit/table.go
@@ -196,6 +196,15 @@
 	return shed, true
 }
 
+// Release removes bytes that were held for a connection.
+func (t *Table) Release(id uint64, bytes int) {
+	if c := t.lookup(id); c != nil {
+		released := min(bytes, c.held)
+		c.held -= released
+		t.held -= released
+	}
+}
+
 // Yield removes a connection if its client is late, and reports whether it did. The connection
 // must then be closed.
 func (t *Table) Yield(id uint64, now time.Time) bool {
