member, facts, beacon: what others name is remembered in bounded number

What was seen: 240 heartbeats of one client, each with 2,000 rows of new names, stop a host of 64 MB on: within 30 s no ordinary request is answered.

Cause: the membership table took any row, of any length, and each heartbeat walks the table.

Class: names in messages of peers and beacons that become keys. Datagrams that are no beacons wrote a log line each and crowded out the others; they are counted once a second.

--- a/internal/beacon/message.go
+++ b/internal/beacon/message.go
@@ -20,6 +20,8 @@
 const (
 	// percent converts ratios to the whole percentages that datagrams carry.
 	percent = 100
+	// maxSenderBytes is the length of the longest name of a host.
+	maxSenderBytes = 64
 	// milli converts requests a second to the requests in 1000 s that datagrams carry.
 	milli = 1000
 )
@@ -229,6 +231,9 @@
 	if wire.GetProtocol() != ProtocolVersion {
 		return Message{}, eris.Errorf("beacon protocol version %d is not supported, want %d", wire.GetProtocol(), ProtocolVersion)
 	}
+	if len(wire.GetSender()) > maxSenderBytes {
+		return Message{}, eris.Errorf("beacon has a sender name of %d bytes, at most %d are allowed", len(wire.GetSender()), maxSenderBytes)
+	}
 	m := Message{
 		Sender: wire.GetSender(), Incarnation: wire.GetIncarnation(), Sequence: wire.GetSequence(),
 		Steered: wire.GetSteered(), WantsObservations: wire.GetWantsSights(),
--- a/internal/beacon/message_test.go
+++ b/internal/beacon/message_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -35,6 +36,22 @@
 	is.Equal(&decoded, message())
 }
 
+// TestLongSenderIsRejected guards against names of any length that parts of a host keep.
+func TestLongSenderIsRejected(t *testing.T) {
+	is := is.New(t)
+	m := message()
+	m.Sender = strings.Repeat("s", 64)
+	encoded, err := beacon.Encode(m)
+	is.NoErr(err)
+	_, err = beacon.Decode(encoded)
+	is.NoErr(err)
+	m.Sender += "s"
+	encoded, err = beacon.Encode(m)
+	is.NoErr(err)
+	_, err = beacon.Decode(encoded)
+	is.True(err != nil)
+}
+
 func FuzzDecode(f *testing.F) {
 	encoded, err := beacon.Encode(message())
 	if err != nil {
--- a/internal/beacon/socket.go
+++ b/internal/beacon/socket.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -14,6 +15,9 @@
 // a message without the fields after it.
 const maxDatagramBytes = 16 << 10
 
+// invalidLogPeriod is the shortest time between two log lines about invalid datagrams.
+const invalidLogPeriod = time.Second
+
 // Socket sends and receives beacons over UDP. It is safe for concurrent use.
 type Socket struct {
 	conn *net.UDPConn
@@ -37,10 +41,12 @@
 
 // Start calls receive for every beacon that arrives, one after the other on a new
 // goroutine. The goroutine ends after Close or an error of the socket. Datagrams that
-// Decode rejects are logged and skipped.
+// Decode rejects are skipped, and counted in the log once a second.
 func (s *Socket) Start(receive func(m *Message)) {
 	s.done.Go(func() {
 		buffer := make([]byte, maxDatagramBytes)
+		var loggedAt time.Time
+		unlogged := 0
 		for {
 			n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
 			if err != nil {
@@ -48,7 +54,11 @@
 			}
 			m, err := Decode(buffer[:n])
 			if err != nil {
-				s.log.Warn("ignoring a datagram that is not a valid beacon", "From", from.String(), "Error", err.Error())
+				unlogged++
+				if now := time.Now(); now.Sub(loggedAt) >= invalidLogPeriod {
+					s.log.Warn("ignoring datagrams that are not valid beacons", "Count", unlogged, "LastFrom", from.String(), "Error", err.Error())
+					loggedAt, unlogged = now, 0
+				}
 				continue
 			}
 			m.From = from.String()
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -180,6 +181,7 @@
 	now := time.Now()
 	d.mu.Lock()
 	d.members.Tick(now)
+	d.forgetRemoved(now)
 	d.advanceKeys()
 	partner, found := d.members.Partner(now)
 	d.refreshHolders()
@@ -195,6 +197,26 @@
 	d.done.Go(func() { d.exchangeTables(d.ctx, partner.PeerAddress, partner.Info) })
 }
 
+// maxRemoved is how many hosts that are no longer members may be remembered by name.
+const maxRemoved = 256
+
+// forgetRemoved removes what is remembered of hosts and failure domains that are no longer in
+// the membership table, once that is much; d.mu is held.
+func (d *Daemon) forgetRemoved(now time.Time) {
+	atMost := d.members.Count() + maxRemoved
+	if max(len(d.lastSeen), len(d.observationsWantedAt), len(d.relayReportAt), len(d.clockLeads)) <= atMost {
+		return
+	}
+	listed := make(map[string]bool)
+	for _, m := range d.members.Members(now) {
+		listed[m.Name], listed[m.FailureDomain] = true, true
+	}
+	for _, times := range []map[string]time.Time{d.lastSeen, d.observationsWantedAt, d.relayReportAt} {
+		maps.DeleteFunc(times, func(name string, _ time.Time) bool { return !listed[name] })
+	}
+	maps.DeleteFunc(d.clockLeads, func(name string, _ time.Duration) bool { return !listed[name] })
+}
+
 // keptPeers returns the peer addresses whose connections stay open. Without a store
 // these are those of all members. With a store they are those of the next receiver of a
 // heartbeat and of the hosts that are contacted repeatedly, which are the steered hosts
--- a/pkg/facts/tree.go
+++ b/pkg/facts/tree.go
@@ -1,6 +1,7 @@
 package facts
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -12,6 +13,8 @@
 	maxRemoteChildren = 1
 	// childLifetime is how long after a host got the snapshot others are redirected to it. All hosts of a fleet start within less than that.
 	childLifetime = 5 * time.Second
+	// maxFailureDomains is the largest number of failure domains whose children are remembered.
+	maxFailureDomains = 256
 )
 
 // Requester is a host that requests a snapshot of a topic.
@@ -66,6 +69,9 @@
 		return now.Sub(c.servedAt) > childLifetime || c.address == requester.Address
 	})
 	if len(recent) < maxChildren {
+		if !t.hasRoomFor(now, requester.FailureDomain) {
+			return ""
+		}
 		t.children[requester.FailureDomain] = append(recent, child{address: requester.Address, servedAt: now})
 		return ""
 	}
@@ -76,6 +82,17 @@
 	return t.roundRobin(others)
 }
 
+// hasRoomFor reports whether children of a failure domain can be remembered.
+func (t *DistributionTree) hasRoomFor(now time.Time, failureDomain string) bool {
+	if _, isKnown := t.children[failureDomain]; isKnown || len(t.children) < maxFailureDomains {
+		return true
+	}
+	maps.DeleteFunc(t.children, func(_ string, children []child) bool {
+		return !slices.ContainsFunc(children, func(c child) bool { return now.Sub(c.servedAt) <= childLifetime })
+	})
+	return len(t.children) < maxFailureDomains
+}
+
 func (t *DistributionTree) roundRobin(addresses []string) string {
 	t.nextIndex++
 	return addresses[t.nextIndex%len(addresses)]
--- a/pkg/facts/tree_test.go
+++ b/pkg/facts/tree_test.go
@@ -134,3 +134,26 @@
 		})
 	}
 }
+
+// TestTreeIsBounded guards against requesters that name ever new failure domains (issue 40).
+// A domain for which there is no room gets its snapshot too, and room comes back with time.
+func TestTreeIsBounded(t *testing.T) {
+	is := is.New(t)
+	tree := facts.NewDistributionTree("d0")
+	now := time.Unix(1000, 0)
+	const domains = 1000
+	for i := range domains {
+		requester := facts.Requester{Address: "192.0.2.1:1", FailureDomain: fmt.Sprintf("f%d", i)}
+		is.Equal(tree.Redirect(now, &requester, nil), "")
+	}
+	// Only the first ones were remembered, so that another host of theirs is redirected.
+	isRedirected := func(now time.Time, domain int) bool {
+		requester := facts.Requester{Address: "192.0.2.2:1", FailureDomain: fmt.Sprintf("f%d", domain)}
+		return tree.Redirect(now, &requester, nil) != ""
+	}
+	is.True(isRedirected(now, 0))
+	is.True(!isRedirected(now, domains-1))
+	now = now.Add(time.Minute)
+	is.True(!isRedirected(now, domains-1))
+	is.True(isRedirected(now, domains-1) || tree.Redirect(now, &facts.Requester{Address: "192.0.2.3:1", FailureDomain: fmt.Sprintf("f%d", domains-1)}, nil) != "")
+}
--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -151,6 +151,10 @@
 	}
 }
 
+// maxMembers is the largest number of rows besides the host's own. Further ones are ignored,
+// so that a faulty sender can't make the table grow without end.
+const maxMembers = 4096
+
 // Merge adds the rows of another host's table, or replaces older rows by them. A row
 // that was added or replaced counts as a sign of life. For half of FailAfter after
 // MarkSilent, only a row of another incarnation does.
@@ -166,7 +170,9 @@
 	}
 	stored, found := t.members[row.Name]
 	if !found {
-		t.members[row.Name] = &Member{Info: *row, LastSeen: now}
+		if len(t.members) < maxMembers {
+			t.members[row.Name] = &Member{Info: *row, LastSeen: now}
+		}
 		return
 	}
 	if !row.newerThan(&stored.Info) {
@@ -264,6 +270,9 @@
 	return current
 }
 
+// Count returns the number of rows.
+func (t *Table) Count() int { return len(t.members) + 1 }
+
 // Members returns all members, this host included, sorted by name.
 func (t *Table) Members(now time.Time) []Member {
 	all := make([]Member, 0, len(t.members)+1)
