gate, platform: callers may use the limits that the operator's configuration states

What callers saw: a head that the configuration allows (max-header-bytes 100,000) got 431, and a body beyond max-body-bytes was passed on to a target. Nor could an operator allow heads that take more than 5 s, or connections that are idle for more than 90 s between two requests.

Cause: the fields `limits` of the platform's configuration were not read. A limit of the host that a proper client can meet is a fault, and these are the limits that clients go by.

Why the fix works: the limits travel with the routes of their version, and the gate asks for those in force whenever a head arrives or a read is awaited; net/http itself gets the largest possible ones, because its fields can't change while it serves. A limit for heads or times takes effect where it is larger than that of the settings, times twofold, since host and caller don't measure them alike. A lower one isn't enforced.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -17,10 +17,7 @@
 )
 
 const (
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 60 * time.Second
-	maxHeadBytes      = 16 << 10
-	closeTimeout      = time.Second
+	closeTimeout = time.Second
 	// refusedRetryAfterSeconds is when a client may return for whose request there was no room.
 	refusedRetryAfterSeconds = "1"
 )
@@ -59,7 +56,8 @@
 		mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 		mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	}
-	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes}
+	// The gate applies the limits of operators.
+	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: gate.MaxHeadTime, IdleTimeout: gate.MaxHeadTime, MaxHeaderBytes: gate.MaxHeadBytes}
 	operators.Follow(s.http, refuse)
 	return s
 }
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -21,6 +21,7 @@
 	"gitlab.com/curranttiller/curranttiller/pkg/settle"
 	"gitlab.com/curranttiller/curranttiller/pkg/spec"
 	"gitlab.com/curranttiller/curranttiller/pkg/steer"
+	"gitlab.com/curranttiller/curranttiller/pkg/table"
 )
 
 const (
@@ -49,6 +50,8 @@
 	platform     *plat.Client
 	peers        *peer.Pool
 	socket       *beacon.Socket
+	// callerLimits are those of the routes in force; nil before there are any.
+	callerLimits atomic.Pointer[table.CallerLimits]
 	// urgent makes the beacon loop send at once instead of at its next period.
 	urgent chan struct{}
 	// topicsRead is closed when Configuration and Targets have both been read once.
--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -24,6 +24,8 @@
 // wait check their keys again; d.mu is held.
 func (d *Daemon) replaceRoutes(routes *table.Table) {
 	d.routes = routes
+	limits := routes.CallerLimits()
+	d.callerLimits.Store(&limits)
 	close(d.routesReplaced)
 	d.routesReplaced = make(chan struct{})
 }
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -51,6 +51,15 @@
 	return destination, nil
 }
 
+// CallerLimits returns the limits for callers that the configuration in force states. It does
+// not block.
+func (d *Daemon) CallerLimits() table.CallerLimits {
+	if limits := d.callerLimits.Load(); limits != nil {
+		return *limits
+	}
+	return table.CallerLimits{}
+}
+
 // IsReady reports whether callers may be sent to this host.
 func (d *Daemon) IsReady() bool {
 	d.mu.Lock()
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -142,7 +142,9 @@
 
 // newGate returns a gate whose bounds the tests don't meet.
 func newGate() *gate.Gate {
-	limits := gate.Limits{Limits: admit.Limits{Connections: 1000, Bytes: 1 << 30}, Fields: 1000, RequestBytes: 1 << 10, AnswerStall: time.Minute}
+	limits := gate.Limits{Limits: admit.Limits{Connections: 1000, Bytes: 1 << 30}, Heads: func() gate.HeadLimits {
+		return gate.HeadLimits{Bytes: 64 << 10, Fields: 1000, Timeout: time.Minute, IdleTimeout: time.Minute}
+	}, RequestBytes: 1 << 10, AnswerStall: time.Minute}
 	return gate.New("caller", limits, metrics.NewSet(), slog.New(slog.DiscardHandler))
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -17,9 +17,26 @@
 	"gitlab.com/curranttiller/curranttiller/internal/config"
 	"gitlab.com/curranttiller/curranttiller/pkg/admit"
 	"gitlab.com/curranttiller/curranttiller/pkg/fault"
+	"gitlab.com/curranttiller/curranttiller/pkg/table"
 )
 
 const (
+	// MaxHeadBytes is the largest limit for the size of a head, and MaxHeadTime that for its
+	// time and the time between requests. A server must allow as much, so that the limits
+	// that are in force can change.
+	MaxHeadBytes = 1 << 20
+	MaxHeadTime  = 24 * time.Hour
+	// headSlack is how much longer than the limit a head may be, because not all clients count
+	// its first and its last line.
+	headSlack = 4 << 10
+	// shortestLine is the length of the shortest line of a head.
+	shortestLine = 3
+	// statedTimeFactor times a time that an operator allows callers is that of the host, which
+	// begins to count earlier.
+	statedTimeFactor = 2
+	// idleTimeout is how long connections may be idle unless an operator allows more.
+	idleTimeout = 90 * time.Second
+
 	// fieldBytes is about what a field of a head takes beside its text, while the head is
 	// read and as long as the request is in progress.
 	fieldBytes = 256
@@ -55,8 +72,11 @@
 	adminShare       = 1.0 / 16
 	// adminHeldShare is the part of the memory of the process that is held for them at most.
 	adminHeldShare = 1.0 / 32
-	// adminFields is the largest number of lines in the head of their requests.
-	adminFields = 256
+	// adminHeadBytes and adminFields are the size of the largest head of their requests and the
+	// largest number of lines in it, and adminHeadTimeout is how long it may take.
+	adminHeadBytes   = 16 << 10
+	adminFields      = 256
+	adminHeadTimeout = 5 * time.Second
 	// adminAnswerBytes is about the longest answer to them, apart from events, and
 	// eventBytes what an event adds.
 	adminAnswerBytes = 256 << 10
@@ -65,18 +85,27 @@
 
 // Answers to heads that are not read on.
 const (
-	// tooManyFields is the answer to a head with more fields than allowed.
-	tooManyFields = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+	// tooLarge is the answer to a head with more bytes or lines than allowed.
+	tooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 	// noRoom is the answer to a head that may not be held. Nothing of its request has run.
 	noRoom = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
 
+// HeadLimits bound the heads of requests and the time between requests. Those of a server may
+// be larger but have no effect then.
+type HeadLimits struct {
+	// Bytes is the size of the largest head, and Fields the largest number of lines in one.
+	Bytes, Fields int
+	// Timeout is how long a head may take, and IdleTimeout how long a connection may be idle.
+	Timeout, IdleTimeout time.Duration
+}
+
 // Limits bound what clients can make the process hold.
 type Limits struct {
 	admit.Limits
 
-	// Fields is the largest number of lines in a head.
-	Fields int
+	// Heads returns the limits of heads that are in force. It must not block.
+	Heads func() HeadLimits
 	// RequestBytes is about what a request takes beside its head, its body and an answer
 	// that is counted apart.
 	RequestBytes int
@@ -84,10 +113,35 @@
 	AnswerStall time.Duration
 }
 
+// callerHeads returns the limits of heads that settings state.
+func callerHeads(settings *config.Settings) HeadLimits {
+	return HeadLimits{Bytes: settings.HeadBytesAtMost, Fields: settings.HeadFieldsAtMost, Timeout: settings.HeadTimeout, IdleTimeout: idleTimeout}
+}
+
+func fixedHeads(heads HeadLimits) func() HeadLimits {
+	return func() HeadLimits { return heads }
+}
+
+// WithStated returns limits within which callers may use what an operator allows them. Lower
+// limits than those of the settings are not enforced, because a caller measures its head and
+// its time in another way than the host.
+func (l Limits) WithStated(stated func() table.CallerLimits) Limits {
+	own := l.Heads
+	l.Heads = func() HeadLimits {
+		heads, allowed := own(), stated()
+		bytes := min(allowed.HeadBytes, MaxHeadBytes)
+		heads.Bytes, heads.Fields = max(heads.Bytes, bytes), max(heads.Fields, bytes/shortestLine)
+		heads.Timeout = max(heads.Timeout, statedTimeFactor*allowed.HeadTimeout)
+		heads.IdleTimeout = max(heads.IdleTimeout, statedTimeFactor*allowed.IdleTimeout)
+		return heads
+	}
+	return l
+}
+
 // NewCallerLimits returns the limits for callers that settings state or imply.
 func NewCallerLimits(settings *config.Settings) Limits {
 	memory := settings.MemoryMB << 20
-	limits := Limits{Fields: settings.HeadFieldsAtMost, RequestBytes: requestBytes, AnswerStall: settings.AnswerStall}
+	limits := Limits{Heads: fixedHeads(callerHeads(settings)), RequestBytes: requestBytes, AnswerStall: settings.AnswerStall}
 	limits.Connections = settings.CallerConnections
 	if limits.Connections == 0 {
 		limits.Connections = min(int(callerShare*float64(settings.Descriptors-fileDescriptors)), memory/connectionBytes)
@@ -102,7 +156,8 @@
 // NewAdminLimits returns the limits for operators and metrics collectors that settings imply.
 // The whole answer to a request of theirs is held until it is read.
 func NewAdminLimits(settings *config.Settings) Limits {
-	limits := Limits{Fields: adminFields, RequestBytes: adminAnswerBytes + settings.EventsKept*eventBytes, AnswerStall: settings.AnswerStall}
+	heads := HeadLimits{Bytes: adminHeadBytes, Fields: adminFields, Timeout: adminHeadTimeout, IdleTimeout: idleTimeout}
+	limits := Limits{Heads: fixedHeads(heads), RequestBytes: adminAnswerBytes + settings.EventsKept*eventBytes, AnswerStall: settings.AnswerStall}
 	limits.Connections = max(1, min(adminConnections, int(adminShare*float64(settings.Descriptors-fileDescriptors))))
 	limits.Bytes = max(int(adminHeldShare*float64(settings.MemoryMB<<20)), 2*limits.RequestBytes)
 	return limits
@@ -425,11 +480,29 @@
 	return n, err
 }
 
+// SetReadDeadline implements net.Conn. While a request is awaited it sets no later time than
+// the limits allow.
+func (c *gatedConn) SetReadDeadline(t time.Time) error {
+	phase := admit.Phase(c.phase.Load())
+	if t.IsZero() || (phase != admit.Head && phase != admit.Idle) {
+		return c.Conn.SetReadDeadline(t)
+	}
+	heads := c.gate.limits.Heads()
+	latest := time.Now().Add(heads.Timeout)
+	if phase == admit.Idle && c.head.bytes == 0 {
+		latest = time.Now().Add(heads.IdleTimeout)
+	}
+	if t.After(latest) {
+		t = latest
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // readHead counts a part of a head that has arrived. An error means that it is not read on.
 func (c *gatedConn) readHead(part []byte) error {
 	lines := c.head.add(part)
-	if c.head.lines > c.gate.limits.Fields {
-		return c.endHead(tooManyFields)
+	if heads := c.gate.limits.Heads(); c.head.lines > heads.Fields || c.head.bytes-c.head.rest > heads.Bytes+headSlack {
+		return c.endHead(tooLarge)
 	}
 	if !c.Hold(headByteCost*len(part) + lines*fieldBytes) {
 		c.gate.refused.Inc()
--- a/internal/gate/progress_test.go
+++ b/internal/gate/progress_test.go
@@ -138,7 +138,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			address := startDownloads(t, gate.Limits{Limits: admit.Limits{Connections: 3, Bytes: 1 << 30}, Fields: 100, AnswerStall: time.Minute})
+			address := startDownloads(t, gate.Limits{Limits: admit.Limits{Connections: 3, Bytes: 1 << 30}, Heads: heads, AnswerStall: time.Minute})
 			ctx, cancel := context.WithTimeout(t.Context(), 8*time.Second)
 			defer cancel()
 			var readers sync.WaitGroup
@@ -171,7 +171,7 @@
 // AnswerStall. A client that reads nothing is cut.
 func TestSteadyReaderIsNotStalled(t *testing.T) {
 	is := is.New(t)
-	address := startDownloads(t, gate.Limits{Limits: admit.Limits{Connections: 3, Bytes: 1 << 30}, Fields: 100, AnswerStall: 700 * time.Millisecond})
+	address := startDownloads(t, gate.Limits{Limits: admit.Limits{Connections: 3, Bytes: 1 << 30}, Heads: heads, AnswerStall: 700 * time.Millisecond})
 	ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
 	defer cancel()
 	conn, unread := download(t, address, 0), download(t, address, 0)
--- a/internal/gate/refusal_test.go
+++ b/internal/gate/refusal_test.go
@@ -33,7 +33,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			g := gate.New("caller", gate.Limits{Limits: admit.Limits{Connections: 10, Bytes: tt.bytes}, Fields: 100, RequestBytes: requestBytes, AnswerStall: time.Minute}, metrics.NewSet(), slog.New(slog.DiscardHandler))
+			g := gate.New("caller", gate.Limits{Limits: admit.Limits{Connections: 10, Bytes: tt.bytes}, Heads: heads, RequestBytes: requestBytes, AnswerStall: time.Minute}, metrics.NewSet(), slog.New(slog.DiscardHandler))
 			arrived, end := make(chan struct{}), make(chan struct{})
 			server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 				close(arrived)
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -52,6 +52,7 @@
 	hosts   map[string]*hostRoutes
 	// organisations is nil if there are none.
 	organisations *orgs.Registry
+	callerLimits  CallerLimits
 }
 
 // New returns a table of routes. Of two routes with the same host name and prefix, the first one is used.
@@ -73,6 +74,30 @@
 	return t.version
 }
 
+// CallerLimits are what the operator allows callers to send, and how long they may take. Zero
+// means that the configuration states no limit.
+type CallerLimits struct {
+	// HeadBytes is the size of the largest head of a request, and BodyBytes that of the
+	// largest body.
+	HeadBytes, BodyBytes int
+	// HeadTimeout is how long a head may take, and IdleTimeout how long a connection may be
+	// idle between two requests.
+	HeadTimeout, IdleTimeout time.Duration
+}
+
+// WithCallerLimits returns a copy with the limits for callers of the same version of the
+// configuration.
+func (t *Table) WithCallerLimits(limits CallerLimits) *Table {
+	changed := *t
+	changed.callerLimits = limits
+	return &changed
+}
+
+// CallerLimits returns the limits for callers.
+func (t *Table) CallerLimits() CallerLimits {
+	return t.callerLimits
+}
+
 // WithOrganisations returns a copy with the organisations of the same version of the configuration.
 func (t *Table) WithOrganisations(organisations *orgs.Registry) *Table {
 	changed := *t
