choose, entry: the time that a caller takes for its body does not count against the target

What callers saw: while 18 callers send half of a body of 192 KB and stop, at two targets with 100 slots, other requests get 503 DeadlinePassed, and for about two seconds afterwards.

Cause: a body of more than 64 KiB is sent on as it arrives. Its target waits for the caller, and the pool took that for the target's time three ways: the age of the attempt raised the expected latency, after 250 ms the attempt was suspect and at three times the expected time an error of the target, and the end without an answer was another one. A few such callers made all targets of a service look slow and faulty.

From the moment at which the body is whole, it counts as sent then. An attempt that ends because its caller has not sent the rest counts as cancelled. Errors that the target causes still count.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -6,6 +6,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
+	"time"
 
 	"gitlab.com/curranttiller/curranttiller/internal/route"
 	"gitlab.com/curranttiller/curranttiller/pkg/admit"
@@ -28,7 +30,7 @@
 type requestBody struct {
 	buffered []byte
 	// stream is nil if the body is in memory or there is none.
-	stream  io.Reader
+	stream  *arrivingBody
 	hasBody bool
 	isTaken bool
 }
@@ -41,7 +43,7 @@
 	case request.IsIdempotent() && request.ContentLength == 0:
 		return &requestBody{}, nil
 	case request.ContentLength > maxReplayBodyBytes:
-		return &requestBody{stream: request.Body, hasBody: true}, nil
+		return &requestBody{stream: newArrivingBody(request.Body), hasBody: true}, nil
 	case request.ContentLength < 0:
 		return newBodyOfUnknownLength(ctx, request)
 	}
@@ -62,12 +64,65 @@
 		return nil, err
 	}
 	if len(buffered) > maxReplayBodyBytes {
-		return &requestBody{stream: io.MultiReader(bytes.NewReader(buffered), request.Body), hasBody: true}, nil
+		return &requestBody{stream: newArrivingBody(io.MultiReader(bytes.NewReader(buffered), request.Body)), hasBody: true}, nil
 	}
 	request.ContentLength = int64(len(buffered))
 	return &requestBody{buffered: buffered, hasBody: true}, nil
 }
 
+// arrivingBody is a body that its caller sends while an attempt reads it.
+type arrivingBody struct {
+	io.Reader
+
+	// arrived is closed when the whole body has been read, at arrivedAt.
+	arrived   chan struct{}
+	arrivedAt time.Time
+	// hasFailed is set when the caller has not sent the rest.
+	hasFailed atomic.Bool
+}
+
+func newArrivingBody(body io.Reader) *arrivingBody {
+	return &arrivingBody{Reader: body, arrived: make(chan struct{})}
+}
+
+// Read implements io.Reader. Only one attempt reads the body.
+func (b *arrivingBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	switch {
+	case errors.Is(err, io.EOF) && b.arrivedAt.IsZero():
+		b.arrivedAt = time.Now()
+		close(b.arrived)
+	case err != nil && !errors.Is(err, io.EOF):
+		b.hasFailed.Store(true)
+	}
+	return n, err
+}
+
+// arrived returns a channel that is closed when a body that is not in memory has arrived. It
+// is nil for other bodies.
+func (b *requestBody) arrived() <-chan struct{} {
+	if b.stream == nil {
+		return nil
+	}
+	return b.stream.arrived
+}
+
+// hasFailed reports whether the caller has not sent the rest of the body.
+func (b *requestBody) hasFailed() bool {
+	return b.stream != nil && b.stream.hasFailed.Load()
+}
+
+// sinceArrival returns how much of the time since an attempt was sent its target had the whole
+// body. It is all of the time if the body was in memory or has not arrived.
+func (b *requestBody) sinceArrival(sinceSent time.Duration) time.Duration {
+	select {
+	case <-b.arrived():
+		return min(sinceSent, time.Since(b.stream.arrivedAt))
+	default:
+		return sinceSent
+	}
+}
+
 // heldReader counts what is read as held and fails when no more may be held.
 type heldReader struct {
 	io.Reader
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -117,6 +117,7 @@
 		return failed
 	}
 	arrival.Doubt = doubtOf(r.account.Record())
+	arrival.IsPaced = body.stream != nil
 	r.decisions = s.arrive(arrival, r.account)
 	defer r.release()
 	if body.stream != nil {
@@ -192,8 +193,12 @@
 	defer hedge.Stop()
 	rescue := newStoppedTimer()
 	defer rescue.Stop()
+	arrived := r.body.arrived()
 	for {
 		select {
+		case <-arrived:
+			arrived = nil
+			r.bodyArrived(rescue)
 		case d := <-r.decisions:
 			if failed := r.handleDecision(ctx, d, hedge, rescue); failed != nil {
 				return nil, failed
@@ -297,7 +302,7 @@
 	if grant.HedgeAfter > 0 {
 		hedge.Reset(grant.HedgeAfter)
 	}
-	if !r.rescued {
+	if !r.rescued && r.body.stream == nil {
 		rescue.Reset(r.rescueDelay(grant))
 	}
 	client, address, useNew := r.service.transport(grant.Target)
@@ -310,6 +315,16 @@
 	r.service.daemon.events.Add(event.Event{Kind: kind, Service: r.service.name, Target: targetName, Request: r.request.ID, Cause: cause})
 }
 
+// bodyArrived is called when a body that is not in memory has arrived, from when on its target
+// sets the pace.
+func (r *activeRequest) bodyArrived(rescue *time.Timer) {
+	r.service.bodyArrived(r.id)
+	if first, found := r.attempts[1]; found && !r.rescued {
+		r.firstSentAt = time.Now()
+		rescue.Reset(r.rescueDelay(first.grant))
+	}
+}
+
 // rescueDelay returns how long after an attempt the rescue timer fires.
 func (r *activeRequest) rescueDelay(grant choose.Grant) time.Duration {
 	delay := max(minRescueDelay, grant.SuspectAfter)
@@ -397,7 +412,12 @@
 // safe. done means that the caller is answered now, with failed or, if that is nil, with
 // the answer in result. Otherwise another attempt is running or has been requested.
 func (r *activeRequest) handleResult(result *attemptResult) (done bool, failed *fault.Error) {
+	result.latency = r.body.sinceArrival(result.latency)
 	outcome := outcomeOf(result)
+	if result.err != nil && r.body.hasFailed() {
+		// The target is not at fault.
+		outcome.Kind = choose.Cancelled
+	}
 	if result.err == nil && !result.whole {
 		// The slot stays occupied until the rest of the answer is copied.
 		r.running++
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -340,6 +340,13 @@
 	s.deliverActions(s.pool.MarkSuspect(time.Now(), id))
 }
 
+// bodyArrived records that the body of a request has arrived that was sent on while it did.
+func (s *service) bodyArrived(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.BodyArrived(time.Now(), id)
+}
+
 func (s *service) hedge(id uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/choose/attempt.go
+++ b/pkg/choose/attempt.go
@@ -85,7 +85,9 @@
 		s.recordReport(now, *outcome.Report)
 	}
 	p.wastedWork.add(outcome)
-	p.recordOutcome(now, s, outcome)
+	if !p.requests[id].IsPaced || outcome.Kind == Errored || outcome.Kind == Declined {
+		p.recordOutcome(now, s, outcome)
+	}
 	return p.dispatch(now)
 }
 
@@ -96,8 +98,11 @@
 	if !found || number < 1 || number > len(r.attempts) {
 		return nil
 	}
-	ended := r.attempts[number-1]
-	ended.target.finishAttempt(ended.sent)
+	ended := &r.attempts[number-1]
+	ended.ended = true
+	if !r.IsPaced {
+		ended.target.finishAttempt(ended.sent)
+	}
 	if !ended.suspect {
 		p.releaseSlot(ended.target)
 	}
--- a/pkg/choose/learn.go
+++ b/pkg/choose/learn.go
@@ -13,6 +13,9 @@
 	switch outcome.Kind {
 	case Answered:
 		s.estimate.addSuccess(now)
+		if r.IsPaced {
+			return // the latency is that of the caller
+		}
 		p.spreadOf(a.wasSlow).add(outcome.Latency, a.expectedLatency)
 		p.learnFromAnswer(now, r, a, outcome)
 	case Errored, Declined:
@@ -78,7 +81,7 @@
 // learnFromCancellation adds the age of a cancelled attempt to the unreported slowdown
 // if an answer was long overdue at the reported slowdown.
 func (p *Pool) learnFromCancellation(now time.Time, r *pending, a *attempt) {
-	if a.slowdown == 0 {
+	if a.slowdown == 0 || r.IsPaced {
 		return
 	}
 	ratio := float64(now.Sub(a.sent)) / (a.slowdown * float64(max(p.work(r), 1)))
--- a/pkg/choose/pool.go
+++ b/pkg/choose/pool.go
@@ -67,6 +67,7 @@
 	slowdownAfter float64
 	// suspect is set if the connection may be dead. The attempt no longer occupies a slot then.
 	suspect bool
+	ended   bool
 }
 
 // hasUsedAllAttempts reports whether the request has reached its maximum number of attempts.
@@ -444,7 +445,7 @@
 
 // grant records an attempt of a request at a target and returns its grant.
 func (p *Pool) grant(now time.Time, r *pending, target *targetState, cause string) Grant {
-	target.startAttempt(now)
+	target.startAttempt(now, r.IsPaced)
 	if p.hasOrganisations && len(r.attempts) == 0 {
 		p.accounts.grant(now, r.Organisation)
 	}
--- a/pkg/choose/target.go
+++ b/pkg/choose/target.go
@@ -144,10 +144,13 @@
 	return max(weight*float64(s.report.Running+s.report.Waiting), 0) + float64(s.inFlight)
 }
 
-func (s *targetState) startAttempt(now time.Time) {
+// startAttempt counts an attempt. One whose caller sets the pace has no age.
+func (s *targetState) startAttempt(now time.Time, isPaced bool) {
 	s.inFlight++
 	s.updatePeak(now)
-	s.attemptTimes = append(s.attemptTimes, now)
+	if !isPaced {
+		s.attemptTimes = append(s.attemptTimes, now)
+	}
 }
 
 // isInFlight reports whether the attempt that was sent at sentAt has not ended.
--- a/pkg/choose/types.go
+++ b/pkg/choose/types.go
@@ -103,6 +103,9 @@
 	// Doubt says how much speaks against the caller. Beside other requests, few of those with
 	// more doubt are taken.
 	Doubt Doubt
+	// IsPaced says that the body has not arrived and is sent on as it does, so that the caller
+	// sets the pace until Pool.BodyArrived. Such a request has one attempt.
+	IsPaced bool
 	// Patience is the time limit that the caller sent with this try of the request;
 	// zero means none. Deadline may be earlier because of other limits.
 	Patience time.Duration
