gate: lookups and readiness checks have places of their own

What could be seen: the directory and readiness shared the places of callers. A request that is whole is never cut, so a host whose places are all taken by requests in progress closed each new connection for a readiness check. Two such answers in a row take a host out, and callers can't look up another one.

Cause: one table for all listeners, so that what a crowd takes at one is missing at the others.

Why the fix works: lookups and readiness checks have a gate with a seventh of the limits for callers, taken from them (callers seven twelfths of the descriptors in place of two thirds; connections of peers an eighth), so that the system's own calls keep a fifth of the descriptors also if crowds fill every listener.

--- a/internal/gate/calls.go
+++ b/internal/gate/calls.go
@@ -16,7 +16,7 @@
 	// peerConnectionBytes is the memory of the process for each connection of another entry
 	// host that may be open, and peerShare the part of the descriptors that these may use.
 	peerConnectionBytes = 256 << 10
-	peerShare           = 1.0 / 6
+	peerShare           = 1.0 / 8
 	// peerHeldShare is the part of the memory of the process that is held for them at most.
 	peerHeldShare = 1.0 / 16
 )
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -56,10 +56,12 @@
 	lingerTime   = 5 * time.Second
 	lingerPeriod = 20 * time.Millisecond
 	// fileDescriptors is the number of descriptors that sockets don't use, and callerShare
-	// the part of the others that connections of callers may use. The rest is for the calls
-	// of the system itself.
+	// the part of the others that connections of callers may use. The rest is for other
+	// clients and for the calls of the system itself.
 	fileDescriptors = 200
-	callerShare     = 2.0 / 3
+	callerShare     = 7.0 / 12
+	// lookupShare times the limits for callers are those for lookups and readiness checks.
+	lookupShare = 1.0 / 7
 	// connectionBytes is the memory of the process for each connection of a caller that may
 	// be open.
 	connectionBytes = 96 << 10
@@ -153,6 +155,15 @@
 	return limits
 }
 
+// NewLookupLimits returns the limits for lookups in the directory and readiness checks. They
+// are apart from those of callers, so that a host full of requests still answers them.
+func NewLookupLimits(settings *config.Settings) Limits {
+	limits := NewCallerLimits(settings)
+	limits.Connections = max(1, int(lookupShare*float64(limits.Connections)))
+	limits.Bytes = int(lookupShare * float64(limits.Bytes))
+	return limits
+}
+
 // NewAdminLimits returns the limits for operators and metrics collectors that settings imply.
 // The whole answer to a request of theirs is held until it is read.
 func NewAdminLimits(settings *config.Settings) Limits {
