choose: a slot is not freed twice

What was seen: in the soak with badly behaved clients, hosts showed a target with -1 requests of theirs, for good, so that it got one more than it has slots.

Cause: attempts are told apart by target and time. Grants of one dispatch have the same time, and many are made at once when a burst arrives or a slow crowd is cut. If one of them had ended, and its request was still there for another attempt, MarkSuspect took it for one in flight and freed its slot again. Early hedges could make the same mistake.

Why the fix works: an attempt that has ended is marked as such.

Evidence: TestEndedAttemptDoesNotBecomeSuspect failed before: four requests were granted in place of one.

--- a/pkg/choose/attempt.go
+++ b/pkg/choose/attempt.go
@@ -125,7 +125,7 @@
 	}
 	for i := range r.attempts {
 		a := &r.attempts[i]
-		if !a.suspect && a.target.isInFlight(a.sent) {
+		if !a.suspect && !a.ended && a.target.isInFlight(a.sent) {
 			a.suspect = true
 			p.releaseSlot(a.target)
 			if a.expectedLatency > 0 && now.Sub(a.sent) >= hungFactor*a.expectedLatency {
--- a/pkg/choose/hedge.go
+++ b/pkg/choose/hedge.go
@@ -76,7 +76,7 @@
 			continue
 		}
 		first := &r.attempts[0]
-		if !first.target.isInFlight(first.sent) {
+		if first.ended || !first.target.isInFlight(first.sent) {
 			continue
 		}
 		if misses := 1 - p.probabilityInTime(now, r, first); misses >= minHedgeGain {
--- a/pkg/choose/paced_test.go
+++ b/pkg/choose/paced_test.go
@@ -74,3 +74,22 @@
 		is.Equal(len(p.Arrive(now, read(id)).Grants), 1) // the slot of the suspect one is free
 	}
 }
+
+// TestEndedAttemptDoesNotBecomeSuspect guards against a slot that is freed twice. Attempts that
+// are granted at the same moment to one target have the same time, by which an attempt that
+// has ended could be taken for one in flight.
+func TestEndedAttemptDoesNotBecomeSuspect(t *testing.T) {
+	is := is.New(t)
+	p := newPool(1) // one target with two slots
+	for id := uint64(1); id <= 2; id++ {
+		is.Equal(len(p.Arrive(start, read(id)).Grants), 1)
+	}
+	now := start.Add(time.Second)
+	p.Finish(now, 1, 1, choose.Outcome{Kind: choose.Errored})
+	p.MarkSuspect(now, 1)
+	granted := 0
+	for id := uint64(3); id <= 6; id++ {
+		granted += len(p.Arrive(now, read(id)).Grants)
+	}
+	is.Equal(granted, 1) // the other slot is in use
+}
