--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,10 @@
 BENCH ?=
 SITES ?=
 
+# Tests that measure memory, and the soak, run apart from other load.
+APART := ^TestCrowd|^TestMessagesOfManyRows
+SOAK := ^TestSoakOnStore
+
 .PHONY: regress build demo test lint unit bench report scale soak storesoak generate docs tools
 
 build:
@@ -28,8 +32,9 @@
 	$(GOBIN)/golangci-lint run ./...
 
 unit: build
-	go test -count=1 -timeout 10m -run '^TestCrowd' ./platform
-	go test -count=1 -timeout 20m -skip '^TestCrowd' ./...
+	go test -count=1 -timeout 10m -run '$(APART)' ./platform
+	go test -count=1 -timeout 10m -run '$(SOAK)' ./platform
+	go test -count=1 -timeout 20m -skip '$(APART)|$(SOAK)' ./...
 
 docs: build
 	./bin/curranttiller reference cli > docs/CLI.md
