--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -21,11 +21,11 @@
 )
 
 const (
-	// MaxHeadBytes is the largest limit for the size of a head, and MaxHeadTime that for its
-	// time and the time between requests. A server must allow as much, so that the limits
-	// that are in force can change.
+	// MaxHeadBytes is the largest limit for the size of a head. A server must allow as much, so
+	// that the limits that are in force can change.
 	MaxHeadBytes = 1 << 20
-	MaxHeadTime  = 24 * time.Hour
+	// MaxHeadTime is the same for the time of a head and the time between requests.
+	MaxHeadTime = 24 * time.Hour
 	// headSlack is how much longer than the limit a head may be, because not all clients count
 	// its first and its last line.
 	headSlack = 4 << 10
