--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 
 unit: build
 	go test -count=1 -timeout 10m -run '$(APART)' ./platform
-	go test -count=1 -timeout 10m -run '$(SOAK)' ./platform
+	go test -count=1 -timeout 10m -parallel 2 -run '$(SOAK)' ./platform
 	go test -count=1 -timeout 20m -skip '$(APART)|$(SOAK)' ./...
 
 docs: build
