--- a/Makefile
+++ b/Makefile
@@ -31,10 +31,13 @@
 	$(GOBIN)/golangci-lint fmt --diff
 	$(GOBIN)/golangci-lint run ./...
 
+# All parts run, also after a part that fails.
 unit: build
-	go test -count=1 -timeout 10m -run '$(APART)' ./platform
-	go test -count=1 -timeout 10m -parallel 2 -run '$(SOAK)' ./platform
-	go test -count=1 -timeout 20m -skip '$(APART)|$(SOAK)' ./...
+	@status=0; \
+	go test -count=1 -timeout 10m -run '$(APART)' ./platform || status=1; \
+	go test -count=1 -timeout 10m -parallel 2 -run '$(SOAK)' ./platform || status=1; \
+	go test -count=1 -timeout 20m -skip '$(APART)|$(SOAK)' ./... || status=1; \
+	exit $$status
 
 docs: build
 	./bin/curranttiller reference cli > docs/CLI.md
