admin: a few operators at the same time are all answered

With the template's settings (284 MB, 512 events) 8 at a time were all answered, 16 were not.

Cause: each request counted as if its answer had all events.

Why the fix works: only answers with events count these, by their number. The sum of what is held has the same bound.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"gitlab.com/curranttiller/curranttiller/internal/gate"
+	"gitlab.com/curranttiller/curranttiller/pkg/admit"
 	"gitlab.com/curranttiller/curranttiller/pkg/event"
 	"gitlab.com/curranttiller/curranttiller/pkg/fault"
 )
@@ -97,7 +98,12 @@
 		Request: query.Get("request"),
 		Kind:    query.Get("kind"),
 	}
-	writeJSON(w, Events{Host: s.host, NowUnixNanos: time.Now().UnixNano(), Events: s.handler.Events(filter)})
+	events := s.handler.Events(filter)
+	if !admit.FromContext(r.Context()).Hold(len(events) * gate.EventBytes) {
+		refuse(w, r, fault.New(fault.NotRun, http.StatusServiceUnavailable, admit.ReasonMemoryFull))
+		return
+	}
+	writeJSON(w, Events{Host: s.host, NowUnixNanos: time.Now().UnixNano(), Events: events})
 }
 
 func (s *Server) serveMetrics(w http.ResponseWriter, _ *http.Request) {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -79,10 +79,10 @@
 	adminHeadBytes   = 16 << 10
 	adminFields      = 256
 	adminHeadTimeout = 5 * time.Second
-	// adminAnswerBytes is about the longest answer to them, apart from events, and
-	// eventBytes what an event adds.
+	// adminAnswerBytes is about the longest answer to them, apart from events.
 	adminAnswerBytes = 256 << 10
-	eventBytes       = 512
+	// EventBytes is about what an event takes in an answer.
+	EventBytes = 512
 )
 
 // Answers to heads that are not read on.
@@ -165,12 +165,13 @@
 }
 
 // NewAdminLimits returns the limits for operators and metrics collectors that settings imply.
-// The whole answer to a request of theirs is held until it is read.
+// The whole answer to a request of theirs is held until it is read. Events in it are counted
+// apart.
 func NewAdminLimits(settings *config.Settings) Limits {
 	heads := HeadLimits{Bytes: adminHeadBytes, Fields: adminFields, Timeout: adminHeadTimeout, IdleTimeout: idleTimeout}
-	limits := Limits{Heads: fixedHeads(heads), RequestBytes: adminAnswerBytes + settings.EventsKept*eventBytes, AnswerStall: settings.AnswerStall}
+	limits := Limits{Heads: fixedHeads(heads), RequestBytes: adminAnswerBytes, AnswerStall: settings.AnswerStall}
 	limits.Connections = max(1, min(adminConnections, int(adminShare*float64(settings.Descriptors-fileDescriptors))))
-	limits.Bytes = max(int(adminHeldShare*float64(settings.MemoryMB<<20)), 2*limits.RequestBytes)
+	limits.Bytes = max(int(adminHeldShare*float64(settings.MemoryMB<<20)), 2*(adminAnswerBytes+settings.EventsKept*EventBytes))
 	return limits
 }
 
