answer: a reset that a write was told of is not an ordinary end

Cause: the operating system reports a reset once, to the read or the write that comes first. When the write of the upload takes it, the read behind it returns io.EOF, and that is the end of a body without a length for net/http. The same holds wherever net/http reads an answer while it writes a request: targets and their probes, the store, the platform, entry hosts.

TestReadAfterWriteSawReset, TestReadWaitsForWriteThatSawReset and TestTransportReadsFromConn fix the order of the write and the read; all three fail on a plain net.Conn.

Every reader now reads from an answer.Conn. At the end of a read it stops the write that is still going on, waits for its result, and returns that error in place of io.EOF. It can't miss the reset: either the read gets it itself or the write has it before the read may return. A reset that comes after the server's clean end is reported as EPIPE, which is no loss, so that a sound answer whose connection ends stays whole.

--- a/internal/cmds/fetch.go
+++ b/internal/cmds/fetch.go
@@ -11,16 +11,21 @@
 	"github.com/rotisserie/eris"
 
 	"gitlab.com/curranttiller/curranttiller/internal/admin"
+	"gitlab.com/curranttiller/curranttiller/internal/answer"
 )
 
 const (
 	// fetchTimeout is the time limit of one request to an entry host.
 	fetchTimeout = 2 * time.Second
+	// fetchIdleTimeout is how long an idle connection to an entry host is kept open.
+	fetchIdleTimeout = 30 * time.Second
 	// maxFetchBytes is the largest size of an answer. A longer one is truncated and then
 	// fails to decode.
 	maxFetchBytes = 64 << 20
 )
 
+var fetchClient = &http.Client{Transport: answer.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment, IdleConnTimeout: fetchIdleTimeout})}
+
 // fetch requests a path from the admin address of an entry host and decodes the JSON
 // answer. A status other than 200 is an error.
 func fetch[T any](ctx context.Context, address, path string) (T, error) {
@@ -31,7 +36,7 @@
 	if err != nil {
 		return answer, eris.Wrapf(err, "requesting from entry host %s", address)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := fetchClient.Do(request)
 	if err != nil {
 		return answer, eris.Wrapf(err, "requesting from entry host %s", address)
 	}
--- a/internal/plat/client.go
+++ b/internal/plat/client.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"gitlab.com/curranttiller/curranttiller/internal/answer"
 )
 
 const (
@@ -35,7 +37,7 @@
 // NewClient returns a client of the platform at an address such as 127.0.0.1:7000. It
 // adds the bytes of its requests and replies to controlBytes.
 func NewClient(address string, controlBytes *atomic.Int64) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout}
+	transport := answer.NewTransport(&http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout})
 	return &Client{base: "http://" + address, http: &http.Client{Transport: transport}, controlBytes: controlBytes}
 }
 
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"gitlab.com/curranttiller/curranttiller/internal/answer"
 	"gitlab.com/curranttiller/curranttiller/pkg/choose"
 	"gitlab.com/curranttiller/curranttiller/pkg/fault"
 	"gitlab.com/curranttiller/curranttiller/pkg/limit"
@@ -206,7 +207,7 @@
 	if err != nil {
 		return nil, err
 	}
-	tracked := &trackedConn{Conn: conn, address: address, openedAt: time.Now()}
+	tracked := &trackedConn{Conn: answer.NewConn(conn), address: address, openedAt: time.Now()}
 	tracked.onClose = func() { c.removeConn(tracked) }
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"gitlab.com/curranttiller/curranttiller/internal/answer"
 	"gitlab.com/curranttiller/curranttiller/pkg/budget"
 	"gitlab.com/curranttiller/curranttiller/pkg/fault"
 	"gitlab.com/curranttiller/curranttiller/pkg/header"
@@ -119,16 +120,17 @@
 
 // New returns a client. It sends nothing before the first call of Do or Directory.
 func New(settings Settings) *Client {
-	transport := &http.Transport{
+	transport := answer.NewTransport(&http.Transport{
 		DialContext:         settings.Dial,
 		MaxIdleConnsPerHost: idleConns,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
-	}
+	})
+	newConnTransport := answer.NewTransport(&http.Transport{DialContext: settings.Dial, DisableKeepAlives: true, DisableCompression: true})
 	return &Client{
 		settings:    settings,
 		http:        &http.Client{Transport: transport},
-		newConnHTTP: &http.Client{Transport: &http.Transport{DialContext: settings.Dial, DisableKeepAlives: true, DisableCompression: true}},
+		newConnHTTP: &http.Client{Transport: newConnTransport},
 		hedgeBudget: budget.NewRetryBudget(hedgeShare, hedgeBurst),
 		rng:         rand.New(rand.NewPCG(settings.Seed, 1)),
 		directories: make(map[string]*cachedDirectory),
