answer: a failed write of an upload waits for the answer

Callers got 502 in place of a sound answer: a target answered an upload early with a 200 without a length, ended its side cleanly, and closed the socket while data of the upload was still unread there.

Cause: closing a socket with unread data sends a reset behind the clean end. The write of the upload then fails with EPIPE, and net/http closes the connection at the first failed write, although the whole answer is still to be read from it.

Conn.Write now returns an error only after the connection was read to its end or closed. All of net/http's ways to give up a request, such as its context, close the connection, so that no write remains; a target that answers with a length is not read to the end, and net/http waits 50 ms for the write there before it closes the connection.

--- a/internal/answer/conn.go
+++ b/internal/answer/conn.go
@@ -18,7 +18,12 @@
 	// readErr is the error of all further reads.
 	readErr error
 
-	// writing is held during a write.
+	// ended is closed at the end of reading, and when the connection is closed.
+	ended chan struct{}
+	// end closes ended.
+	end func()
+
+	// writing is held during a write to the socket.
 	writing sync.Mutex
 	// lost is the error with which the connection broke, if a write was told of it.
 	lost error
@@ -26,7 +31,8 @@
 
 // NewConn returns a Conn that reads from and writes to conn.
 func NewConn(conn net.Conn) *Conn {
-	return &Conn{Conn: conn}
+	ended := make(chan struct{})
+	return &Conn{Conn: conn, ended: ended, end: sync.OnceFunc(func() { close(ended) })}
 }
 
 // Read implements net.Conn. It returns io.EOF only if the server has ended its side of the
@@ -39,7 +45,10 @@
 	if errors.Is(err, io.EOF) {
 		err = c.endOfRead()
 	}
-	c.readErr = err
+	if err != nil {
+		c.readErr = err
+		c.end()
+	}
 	return n, err
 }
 
@@ -57,8 +66,19 @@
 	return io.EOF
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. A write that fails returns only after the answer has been read to
+// the end of the connection, or the connection was closed, because net/http closes the
+// connection at once then. A server may answer a request without reading all of it.
 func (c *Conn) Write(p []byte) (int, error) {
+	n, err := c.write(p)
+	if err != nil {
+		<-c.ended
+	}
+	return n, err
+}
+
+// write writes to the socket and records an error that means that the connection broke.
+func (c *Conn) write(p []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
@@ -68,6 +88,12 @@
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.end()
+	return c.Conn.Close()
+}
+
 // isLoss reports whether the error of a write means that the connection broke before the
 // server had ended its side. A reset that follows that end is reported as EPIPE.
 func isLoss(err error) bool {
--- a/internal/answer/conn_test.go
+++ b/internal/answer/conn_test.go
@@ -16,6 +16,9 @@
 	"gitlab.com/curranttiller/curranttiller/internal/answer"
 )
 
+// writeReturns is longer than a write takes to return after its error.
+const writeReturns = 20 * time.Millisecond
+
 // dialPair returns both sides of a connection on loopback.
 func dialPair(t *testing.T) (client, server *net.TCPConn) {
 	t.Helper()
@@ -39,14 +42,40 @@
 	return dialed.(*net.TCPConn), accepted.(*net.TCPConn)
 }
 
-// writeUntilError writes until the connection takes no more.
-func writeUntilError(conn net.Conn) error {
-	chunk := make([]byte, 64<<10)
-	for {
-		if _, err := conn.Write(chunk); err != nil {
-			return err
-		}
+// socketConn tells of the error that a write got from the socket before the write returns.
+type socketConn struct {
+	net.Conn
+
+	failed chan error
+}
+
+// newSocketConn returns a socketConn for one write that fails.
+func newSocketConn(conn net.Conn) *socketConn {
+	return &socketConn{Conn: conn, failed: make(chan error, 1)}
+}
+
+// Write implements net.Conn.
+func (c *socketConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.failed <- err
 	}
+	return n, err
+}
+
+// writeUntilError writes until the connection takes no more, and sends the error.
+func writeUntilError(conn net.Conn) <-chan error {
+	written := make(chan error, 1)
+	go func() {
+		chunk := make([]byte, 64<<10)
+		for {
+			if _, err := conn.Write(chunk); err != nil {
+				written <- err
+				return
+			}
+		}
+	}()
+	return written
 }
 
 // readAll reads until an error, which is nil for an ordinary end.
@@ -59,7 +88,8 @@
 func TestReadAfterWriteSawReset(t *testing.T) {
 	is := is.New(t)
 	client, server := dialPair(t)
-	conn := answer.NewConn(client)
+	socket := newSocketConn(client)
+	conn := answer.NewConn(socket)
 	_, err := io.WriteString(server, "part")
 	is.NoErr(err)
 	// The part has arrived before the reset, which discards what is in flight.
@@ -67,26 +97,50 @@
 	is.NoErr(err)
 	is.NoErr(server.SetLinger(0))
 	is.NoErr(server.Close())
-	is.True(errors.Is(writeUntilError(conn), syscall.ECONNRESET))
+	written := writeUntilError(conn)
+	is.True(errors.Is(<-socket.failed, syscall.ECONNRESET))
 	text, err := readAll(conn)
 	is.Equal(text, "art")
 	is.True(errors.Is(err, syscall.ECONNRESET)) // a net.TCPConn reports an ordinary end here
 	_, err = conn.Read(make([]byte, 1))
 	is.True(errors.Is(err, syscall.ECONNRESET))
+	is.True(errors.Is(<-written, syscall.ECONNRESET))
 }
 
-// TestReadAfterEndAndReset has the server end its side before it resets the connection.
+// TestReadAfterEndAndReset has the server end its side before it resets the connection. The
+// write fails only after the end has been read.
 func TestReadAfterEndAndReset(t *testing.T) {
 	is := is.New(t)
 	client, server := dialPair(t)
-	conn := answer.NewConn(client)
+	socket := newSocketConn(client)
+	conn := answer.NewConn(socket)
 	_, err := io.WriteString(server, "whole")
 	is.NoErr(err)
 	is.NoErr(server.Close())
-	is.True(errors.Is(writeUntilError(conn), syscall.EPIPE))
+	written := writeUntilError(conn)
+	is.True(errors.Is(<-socket.failed, syscall.EPIPE))
+	select {
+	case err := <-written:
+		t.Fatalf("write returned %v before the answer was read", err)
+	case <-time.After(writeReturns):
+	}
 	text, err := readAll(conn)
 	is.Equal(text, "whole")
 	is.NoErr(err)
+	is.True(errors.Is(<-written, syscall.EPIPE))
+}
+
+// TestCloseEndsFailedWrite closes the connection while a write that failed waits for a read.
+func TestCloseEndsFailedWrite(t *testing.T) {
+	is := is.New(t)
+	client, server := dialPair(t)
+	socket := newSocketConn(client)
+	conn := answer.NewConn(socket)
+	is.NoErr(server.Close())
+	written := writeUntilError(conn)
+	is.True(<-socket.failed != nil)
+	is.NoErr(conn.Close())
+	is.True(<-written != nil)
 }
 
 // TestReadEndsBesideBlockedWrite has the server end its side and read no more.
@@ -94,8 +148,7 @@
 	is := is.New(t)
 	client, server := dialPair(t)
 	conn := answer.NewConn(client)
-	written := make(chan error)
-	go func() { written <- writeUntilError(conn) }()
+	written := writeUntilError(conn)
 	_, err := io.WriteString(server, "whole")
 	is.NoErr(err)
 	is.NoErr(server.CloseWrite())
