answer: reject an answer in which the name of a field holds a blank

A 503 with such a line was believed when it said that the request had not run.

Cause: net/http accepts names with blanks, leaves them out of the fields that it interprets, and so frames the body without them.

Evidence: of the 17 cases of TestNamesOfFieldsAreTokens 8 failed before, as 200, 503 or, after the deadline, 504; a control byte, tab, DEL, NUL, a byte above ASCII, a separator, no colon and no name were 502 already. TestReadersRejectUnsoundAnswers failed for all five clients (a target's answer and its health, the store, the platform, the client library), and TestFaultyTargetsAreNotPreferred, where a target with such answers got 396 and 404 of 400 requests instead of its share.

A Conn now scans what it reads: it follows the framing of the answers as net/http does and fails before the end of the first field without a valid name, so that the head never becomes complete. One place thus holds the rule for all clients; the error is sticky, so that the connection can't be used again, and the target counts as failing like after any lost connection. A part of the line is passed on, because net/http may send a request again if it got no byte of the answer.

Measured: all 17 are 502, each ran once and its connection is closed; the faulty target gets 2 of 400 requests; 17 sound framings are read unchanged in pieces of 1, 7 and 4,096 bytes.

--- a/internal/answer/conn.go
+++ b/internal/answer/conn.go
@@ -4,8 +4,10 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -15,6 +17,9 @@
 type Conn struct {
 	net.Conn
 
+	// expectsHead says that the last request has the method HEAD.
+	expectsHead atomic.Bool
+	scanner     scanner
 	// readErr is the error of all further reads.
 	readErr error
 
@@ -35,13 +40,22 @@
 	return &Conn{Conn: conn, ended: ended, end: sync.OnceFunc(func() { close(ended) })}
 }
 
-// Read implements net.Conn. It returns io.EOF only if the server has ended its side of the
-// connection. All reads after an error return the same error.
+// Expect must be called with the method of each request before the request is written.
+func (c *Conn) Expect(method string) {
+	c.expectsHead.Store(method == http.MethodHead)
+}
+
+// Read implements net.Conn. It fails at an answer that is not sound, and returns io.EOF only if
+// the server has ended its side of the connection. All reads after an error return the same
+// error.
 func (c *Conn) Read(p []byte) (int, error) {
 	if c.readErr != nil {
 		return 0, c.readErr
 	}
 	n, err := c.Conn.Read(p)
+	if sound, unsound := c.scanner.scan(p[:n], c.expectsHead.Load()); unsound != nil {
+		n, err = sound, unsound
+	}
 	if errors.Is(err, io.EOF) {
 		err = c.endOfRead()
 	}
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -340,7 +340,7 @@
 // send sends an attempt on one connection and returns the response as soon as its header has
 // arrived.
 func (c *Client) send(ctx context.Context, request *Request) (*http.Response, *tracker, *fault.Error) {
-	track := &tracker{}
+	track := &tracker{method: request.Method}
 	outgoing, err := c.newHTTPRequest(httptrace.WithClientTrace(ctx, track.trace()), request)
 	if err != nil {
 		return nil, nil, fault.Wrap(err, fault.NotRun, http.StatusBadRequest, "BadRequest")
@@ -376,6 +376,7 @@
 
 // tracker records the connection of an attempt.
 type tracker struct {
+	method string
 	// conn is nil until the attempt gets a connection.
 	conn *trackedConn
 	// writesBefore is the number of writes to conn before the attempt.
@@ -391,6 +392,7 @@
 		t.onConnected()
 		if conn, ok := info.Conn.(*trackedConn); ok {
 			conn.setInUse()
+			conn.Expect(t.method)
 			t.conn = conn
 			t.writesBefore = conn.writeCount()
 			t.isReused = info.Reused
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -1,11 +1,12 @@
 package target
 
 import (
-	"net"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"gitlab.com/curranttiller/curranttiller/internal/answer"
 )
 
 // idleMargin is how long before the target's idle timeout a connection is closed. It must
@@ -20,7 +21,7 @@
 // So the verdict NotRun is certain, although the transport writes from a goroutine of
 // its own.
 type trackedConn struct {
-	net.Conn
+	*answer.Conn
 
 	// address is that of the target, and openedAt when the connection was established.
 	address  string
