answer: reject a status line that is none of HTTP/1

Cause: net/http accepts any version of the form HTTP/d.d, reads the answer as one of HTTP/1, and doesn't look at the text behind the status.

The scan of a Conn now fails at a status line that doesn't begin with HTTP/1, a dot and one digit, or whose reason has a control byte, which no text of an answer may hold. A line without a status fails there too; an empty one is left to net/http, so that the start of an answer always reaches it and it doesn't send the request again.

--- a/internal/answer/scan.go
+++ b/internal/answer/scan.go
@@ -125,12 +125,19 @@
 		s.part = partRest
 		return nil
 	}
-	_, rest, _ := bytes.Cut(line, []byte(" "))
-	status, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	minor, isHTTP1 := bytes.CutPrefix(version, []byte("HTTP/1."))
+	if !isHTTP1 || len(minor) != 1 {
+		return unsound("status line of another protocol", line)
+	}
+	status, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	code, err := strconv.Atoi(string(status))
 	if err != nil {
 		return unsound("status line without a status", line)
 	}
+	if !httpguts.ValidHeaderFieldValue(string(reason)) {
+		return unsound("control byte in the status line", line)
+	}
 	s.head = head{status: code}
 	s.part = partFields
 	return nil
