answer: reject a field that is continued on another line

Callers got answers as whole in whose head a field went on in another line: net/http joins such lines.

Cause: the form was withdrawn from HTTP because readers differ in what they see in it; a target that writes it, or something between it and the host, may have meant another body. net/http still accepts it.

The scan of a Conn fails at a line of a head that begins with a blank or a tab. RFC 9112, 5.2, leaves a proxy the choice between a blank in place of the line break and 502; only 502 is also right for the fields that frame the body.

--- a/internal/answer/scan.go
+++ b/internal/answer/scan.go
@@ -162,8 +162,7 @@
 // splitField returns the name and the value of a field.
 func splitField(line []byte) (name, value []byte, err error) {
 	if line[0] == ' ' || line[0] == '\t' {
-		// It continues the field in front of it.
-		return nil, nil, nil
+		return nil, nil, unsound("field continued on another line", line)
 	}
 	name, value, found := bytes.Cut(line, []byte(":"))
 	isToken := !bytes.ContainsFunc(name, func(r rune) bool { return !httpguts.IsTokenRune(r) })
