answer: reject a trailer with a name that is none

Cause: net/http reads a trailer as leniently as a head.

The scan of a Conn applies the rule for the fields of a head to those of a trailer. net/http looks for the end of the trailer before it ends the body; the read fails before that end, so that the body never counts as whole.

--- a/internal/answer/readers_test.go
+++ b/internal/answer/readers_test.go
@@ -122,11 +122,12 @@
 	}
 }
 
-// unsoundAnswers are templates of answers, in which FIELDS and BODY stand for those of a reader
-// and LENGTH for the length of the body.
+// unsoundAnswers are templates of answers, in which FIELDS and BODY stand for those of a reader,
+// CHUNK for the body as a chunk, and LENGTH for its length.
 var unsoundAnswers = []struct{ name, text string }{
 	{"blank in a name", "HTTP/1.1 200 OK\r\nFIELDSX More: 1\r\nContent-Length: LENGTH\r\n\r\nBODY"},
 	{"field continued on another line", "HTTP/1.1 200 OK\r\nFIELDSX-More: 1\r\n 2\r\nContent-Length: LENGTH\r\n\r\nBODY"},
+	{"blank in a name of the trailer", "HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding: chunked\r\n\r\nCHUNK0\r\nX More: 1\r\n\r\n"},
 	{"HTTP/2.0", "HTTP/2.0 200 OK\r\nFIELDSContent-Length: LENGTH\r\n\r\nBODY"},
 	{"control byte in the reason", "HTTP/1.1 200 O\x01K\r\nFIELDSContent-Length: LENGTH\r\n\r\nBODY"},
 	{"blank behind a name", "HTTP/1.1 200 OK\r\nFIELDSX-More : 1\r\nContent-Length: LENGTH\r\n\r\nBODY"},
@@ -134,7 +135,11 @@
 
 // render fills in a template.
 func (r *reader) render(text string) string {
-	return strings.NewReplacer("FIELDS", r.fields, "BODY", r.body, "LENGTH", fmt.Sprint(len(r.body))).Replace(text)
+	chunk := ""
+	if r.body != "" {
+		chunk = fmt.Sprintf("%x\r\n%s\r\n", len(r.body), r.body)
+	}
+	return strings.NewReplacer("FIELDS", r.fields, "BODY", r.body, "LENGTH", fmt.Sprint(len(r.body)), "CHUNK", chunk).Replace(text)
 }
 
 // TestReadersRejectUnsoundAnswers sends the answers to each client. It must return no answer and
--- a/internal/answer/scan.go
+++ b/internal/answer/scan.go
@@ -112,9 +112,11 @@
 	case partChunkEnd:
 		s.part = partChunkSize
 	default: // the trailer
-		if len(line) == 0 {
-			s.part = partStatusLine
+		if len(line) > 0 {
+			_, _, err := splitField(line)
+			return err
 		}
+		s.part = partStatusLine
 	}
 	return nil
 }
