answer: reject a transfer encoding in an answer of HTTP/1.0

Cause: HTTP/1.0 has no transfer encodings, so net/http drops the field. A target that writes it anyway means the chunks, and RFC 9112, 6.1, has the framing of such a message treated as faulty.

Other encodings than chunks in HTTP/1.1 are 502 already in net/http.

The scan of a Conn fails at the field when the status line is of HTTP/1.0. An answer of HTTP/1.0 with a length, or one that ends with its connection, stays sound (TestSoundAnswersAreRead).

--- a/internal/answer/readers_test.go
+++ b/internal/answer/readers_test.go
@@ -128,6 +128,7 @@
 	{"blank in a name", "HTTP/1.1 200 OK\r\nFIELDSX More: 1\r\nContent-Length: LENGTH\r\n\r\nBODY"},
 	{"field continued on another line", "HTTP/1.1 200 OK\r\nFIELDSX-More: 1\r\n 2\r\nContent-Length: LENGTH\r\n\r\nBODY"},
 	{"blank in a name of the trailer", "HTTP/1.1 200 OK\r\nFIELDSTransfer-Encoding: chunked\r\n\r\nCHUNK0\r\nX More: 1\r\n\r\n"},
+	{"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nFIELDSTransfer-Encoding: chunked\r\nContent-Length: LENGTH\r\n\r\nBODY"},
 	{"HTTP/2.0", "HTTP/2.0 200 OK\r\nFIELDSContent-Length: LENGTH\r\n\r\nBODY"},
 	{"control byte in the reason", "HTTP/1.1 200 O\x01K\r\nFIELDSContent-Length: LENGTH\r\n\r\nBODY"},
 	{"blank behind a name", "HTTP/1.1 200 OK\r\nFIELDSX-More : 1\r\nContent-Length: LENGTH\r\n\r\nBODY"},
--- a/internal/answer/scan.go
+++ b/internal/answer/scan.go
@@ -43,6 +43,7 @@
 
 // head is what the head of an answer states about its body.
 type head struct {
+	isHTTP10  bool
 	status    int
 	isChunked bool
 	hasLength bool
@@ -140,7 +141,7 @@
 	if !httpguts.ValidHeaderFieldValue(string(reason)) {
 		return unsound("control byte in the status line", line)
 	}
-	s.head = head{status: code}
+	s.head = head{isHTTP10: minor[0] == '0', status: code}
 	s.part = partFields
 	return nil
 }
@@ -156,6 +157,9 @@
 		s.head.length, err = strconv.ParseUint(string(value), 10, 63)
 		s.head.hasLength = err == nil
 	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		if s.head.isHTTP10 {
+			return unsound("transfer encoding in HTTP/1.0", line)
+		}
 		s.head.isChunked = true
 	}
 	return nil
