answer: reject statuses that no answer has in every client

From targets such answers were rejected already: callers of an entry host got 502.

Cause: net/http accepts any three digits. The check stood in the client of targets only; the store, the platform and health probes accept no status but 200 or 503.

Evidence: the five cases that TestReadersRejectUnsoundAnswers gains failed for the client library, and for the store and the platform the connection stayed in use until it had been idle for long. Held before and after: TestStatusOfNoAnswer, new here, and the statuses in TestFaultyTargetsAreNotPreferred.

The check moves into the scan of a Conn, so that all clients share it. The client of targets gives its error the reason AnswerWithoutStatus as before.

Measured: all five clients reject all five and close the connection.

--- a/internal/answer/readers_test.go
+++ b/internal/answer/readers_test.go
@@ -131,6 +131,11 @@
 	{"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nFIELDSTransfer-Encoding: chunked\r\nContent-Length: LENGTH\r\n\r\nBODY"},
 	{"HTTP/2.0", "HTTP/2.0 200 OK\r\nFIELDSContent-Length: LENGTH\r\n\r\nBODY"},
 	{"control byte in the reason", "HTTP/1.1 200 O\x01K\r\nFIELDSContent-Length: LENGTH\r\n\r\nBODY"},
+	{"status 000", "HTTP/1.1 000 OK\r\nFIELDSContent-Length: LENGTH\r\n\r\nBODY"},
+	{"status 099", "HTTP/1.1 099 OK\r\nFIELDSContent-Length: LENGTH\r\n\r\nBODY"},
+	{"status 101", "HTTP/1.1 101 OK\r\nFIELDSContent-Length: LENGTH\r\n\r\nBODY"},
+	{"status 600", "HTTP/1.1 600 OK\r\nFIELDSContent-Length: LENGTH\r\n\r\nBODY"},
+	{"status 999", "HTTP/1.1 999 OK\r\nFIELDSContent-Length: LENGTH\r\n\r\nBODY"},
 	{"blank behind a name", "HTTP/1.1 200 OK\r\nFIELDSX-More : 1\r\nContent-Length: LENGTH\r\n\r\nBODY"},
 }
 
@@ -160,7 +165,11 @@
 					defer cancel()
 					s := startRawServer(t, r.render(unsound.text))
 					is.True(r.read(ctx, s.address) != nil)
-					<-s.closed
+					select {
+					case <-s.closed:
+					case <-time.After(readerTimeout):
+						t.Error("the connection is still open")
+					}
 				})
 			}
 		})
--- a/internal/answer/scan.go
+++ b/internal/answer/scan.go
@@ -9,8 +9,16 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// maxQuotedBytes is the length to which an error cuts the line that it quotes.
-const maxQuotedBytes = 64
+const (
+	// maxStatus is the highest status that an answer may have.
+	maxStatus = 599
+	// maxQuotedBytes is the length to which an error cuts the line that it quotes.
+	maxQuotedBytes = 64
+)
+
+// ErrStatus is the error of a read that comes upon an answer with a status outside 100 to 599, or
+// with status 101, which no request asks for.
+var ErrStatus = eris.New("answer is not sound: status")
 
 // part is a part of an answer.
 type part int
@@ -141,6 +149,9 @@
 	if !httpguts.ValidHeaderFieldValue(string(reason)) {
 		return unsound("control byte in the status line", line)
 	}
+	if code < http.StatusContinue || code > maxStatus || code == http.StatusSwitchingProtocols {
+		return ErrStatus
+	}
 	s.head = head{isHTTP10: minor[0] == '0', status: code}
 	s.part = partFields
 	return nil
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -33,8 +33,6 @@
 	// minAnsweringTargets of these have answered within recentAnswer.
 	minAnsweringTargets = 3
 	recentAnswer        = 100 * time.Millisecond
-	// maxStatus is the highest status that an answer may have.
-	maxStatus = 599
 	// maxBlockedSends is how often an attempt is sent again because it got a connection that
 	// was closed here before.
 	maxBlockedSends = 3
@@ -307,11 +305,6 @@
 	if failed != nil {
 		return nil, failed
 	}
-	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
-		_ = response.Body.Close()
-		track.closeConn()
-		return nil, fault.New(fault.MayHaveRun, http.StatusBadGateway, ReasonNoStatus)
-	}
 	track.setTargetIdleTimeout(response.Header.Get("Keep-Alive"))
 	info, failed := c.protocol.ParseResponse(response, request)
 	if request.OnStated != nil {
@@ -457,6 +450,9 @@
 	if errors.Is(err, context.DeadlineExceeded) {
 		return fault.Wrap(err, fault.MayHaveRun, http.StatusGatewayTimeout, "DeadlinePassed")
 	}
+	if errors.Is(err, answer.ErrStatus) {
+		return fault.Wrap(err, fault.MayHaveRun, http.StatusBadGateway, ReasonNoStatus)
+	}
 	return fault.Wrap(err, fault.MayHaveRun, http.StatusBadGateway, "TargetConnectionLost")
 }
 
--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -147,6 +147,25 @@
 	}
 }
 
+// TestStatusOfNoAnswer sends statuses that no final answer has.
+func TestStatusOfNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "101", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			is := is.New(t)
+			s := startScriptedServer(t, "HTTP/1.1 "+status+" X\r\nTiller-Refused: NotRun\r\nContent-Length: 0\r\n\r\n")
+			client := newClient()
+			defer client.Close()
+			_, err := client.Do(context.Background(), request(s, http.MethodPost, "body"))
+			var failed *fault.Error
+			is.True(errors.As(err, &failed))
+			is.Equal(failed.Verdict, fault.MayHaveRun)
+			is.Equal(failed.Status, http.StatusBadGateway)
+			is.Equal(failed.Reason, target.ReasonNoStatus)
+			is.Equal(s.runs.Load(), int64(1))
+		})
+	}
+}
+
 func TestVerdictOfAnswers(t *testing.T) {
 	tests := []struct {
 		name  string
