entry: a long answer that its target breaks off counts as its failure

Cause: the host ended such an attempt as cancelled, the same way as one whose caller has left, and that says nothing about the target. A shorter answer that breaks off is held back, becomes 502 and counts as an error.

The copy to the caller now records whether the error is one of reading the answer. If so, and neither the caller has left nor its deadline passed nor its upload failed, the attempt ends as an error, with the load that the answer stated, and is logged as failed.

--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -32,6 +32,8 @@
 	answerGrace = 30 * time.Millisecond
 	// minRescueDelay is the shortest wait for an answer before a rescue, unless half of the time to the deadline is shorter.
 	minRescueDelay = 250 * time.Millisecond
+	// reasonAnswerCut is the reason of an attempt whose answer broke off after its head.
+	reasonAnswerCut = "AnswerCut"
 )
 
 // activeRequest is the state of one request at this host from its arrival at the
@@ -375,7 +377,7 @@
 	result.latency = time.Since(sentAt)
 	if err != nil {
 		_ = answer.Body.Close()
-		result.err = fault.Wrap(err, fault.Ran, http.StatusBadGateway, "AnswerCut")
+		result.err = fault.Wrap(err, fault.Ran, http.StatusBadGateway, reasonAnswerCut)
 		return result
 	}
 	if result.whole {
@@ -554,7 +556,11 @@
 		if r.account.Hold(copyBytes) {
 			buffer = make([]byte, copyBytes)
 		}
-		if _, err := io.CopyBuffer(w, answer.Body, buffer); err != nil {
+		rest := &answerRest{body: answer.Body}
+		if _, err := io.CopyBuffer(w, rest, buffer); err != nil {
+			if rest.isBroken() && !r.body.hasFailed() {
+				won.err = fault.Wrap(err, fault.Ran, http.StatusBadGateway, reasonAnswerCut)
+			}
 			return r.abortAnswer(won, err)
 		}
 		_ = answer.Body.Close()
@@ -582,11 +588,40 @@
 }
 
 // abortAnswer handles an answer that broke off after its head and returns route.ErrTruncated.
+// The target is at fault if won has an error.
 func (r *activeRequest) abortAnswer(won *attemptResult, err error) error {
-	r.addEvent("AnswerCut", won.target, err.Error())
-	if !won.whole {
-		r.running--
+	r.addEvent(reasonAnswerCut, won.target, err.Error())
+	if won.whole {
+		return route.ErrTruncated
+	}
+	r.running--
+	if won.err == nil {
 		r.discardResult(won)
+		return route.ErrTruncated
 	}
+	_ = won.answer.Body.Close()
+	r.service.finish(r.id, won.attempt, outcomeOf(won))
+	r.logAttemptFailed(won)
 	return route.ErrTruncated
 }
+
+// answerRest is the part of an answer that is copied to the caller as it arrives.
+type answerRest struct {
+	body io.Reader
+	// err is the error of the last read.
+	err error
+}
+
+// Read implements io.Reader.
+func (a *answerRest) Read(p []byte) (int, error) {
+	n, err := a.body.Read(p)
+	a.err = err
+	return n, err
+}
+
+// isBroken reports whether the answer broke off at the target, rather than because the caller
+// left or its deadline passed.
+func (a *answerRest) isBroken() bool {
+	isOver := errors.Is(a.err, io.EOF) || errors.Is(a.err, context.Canceled) || errors.Is(a.err, context.DeadlineExceeded)
+	return a.err != nil && !isOver
+}
