--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -31,6 +31,9 @@
 	"gitlab.com/curranttiller/curranttiller/pkg/ledger"
 )
 
+// maxAnswerBytes is more than a host sends on a connection with one answer.
+const maxAnswerBytes = 400
+
 // echo is a handler that answers a forwarded request with its own body.
 type echo struct {
 	// truncatesAnswer makes Serve fail before the part that marks the end of the answer.
@@ -99,6 +102,64 @@
 	is.True(errors.Is(err, route.ErrTruncated))
 }
 
+// startCutter returns the address of a proxy to a host that passes on a number of bytes of what
+// the host sends, and then ends or resets the connection.
+func startCutter(t *testing.T, host string, passedBytes int64, resets bool) string {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				server, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", host)
+				if err != nil {
+					return
+				}
+				defer func() { _ = server.Close() }()
+				go func() { _, _ = io.Copy(server, conn) }()
+				_, _ = io.CopyN(conn, server, passedBytes)
+				if resets {
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// TestForwardReportsCutConnection cuts the connection to another host after each byte of its
+// answer.
+func TestForwardReportsCutConnection(t *testing.T) {
+	const body = "whole"
+	host := startServer(t, echo{})
+	for _, resets := range []bool{false, true} {
+		failed, whole := 0, 0
+		for passedBytes := range int64(maxAnswerBytes) {
+			w, err := forward(startCutter(t, host, passedBytes, resets), body)
+			if err != nil {
+				failed++
+				continue
+			}
+			whole++
+			if w.Code != http.StatusTeapot || w.Body.String() != body {
+				t.Errorf("after %d bytes: status %d and body %q", passedBytes, w.Code, w.Body)
+			}
+		}
+		t.Logf("resets %v: %d failed, %d whole", resets, failed, whole)
+		if failed == 0 || whole == 0 {
+			t.Error("the connections are not cut within the answer")
+		}
+	}
+}
+
 func TestForwardToUnreachableHostIsNotRun(t *testing.T) {
 	is := is.New(t)
 	_, err := forward("127.0.0.1:1", "body")
