--- a/internal/answer/scan.go
+++ b/internal/answer/scan.go
@@ -133,6 +133,7 @@
 // scanStatusLine reads the protocol version and the status of an answer.
 func (s *scanner) scanStatusLine(line []byte) error {
 	if len(line) == 0 {
+		// net/http gets the first byte of an answer, and rejects it.
 		s.part = partRest
 		return nil
 	}
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -369,6 +369,7 @@
 
 // tracker records the connection of an attempt.
 type tracker struct {
+	// method is that of the attempt.
 	method string
 	// conn is nil until the attempt gets a connection.
 	conn *trackedConn
