--- a/internal/answer/readers_test.go
+++ b/internal/answer/readers_test.go
@@ -107,7 +107,7 @@
 			}
 			return nil
 		}},
-		{name: "store", fields: "Store-Era: 1\r\n", body: `{"items":[],"has-more":false,"end-offset":1}`, read: func(ctx context.Context, address string) error {
+		{name: "store", body: `{"items":[],"has-more":false,"end-offset":1}`, read: func(ctx context.Context, address string) error {
 			_, err := platform.NewStore(address).Newest(ctx, "configuration")
 			return err
 		}},
